--- a/src/include/heatherlever/backend_spec.h
+++ b/src/include/heatherlever/backend_spec.h
@@ -11,8 +11,8 @@
 struct BackendSpec {
   std::string name;
   Labels labels;
-  /// Kind of work that it serves.
-  std::string kind;
+  /// Service that it runs, such as levelview.
+  std::string service;
   std::string region;
   std::string domain;
   /// IP address.
--- a/src/include/heatherlever/drain_spec.h
+++ b/src/include/heatherlever/drain_spec.h
@@ -12,7 +12,7 @@
 struct DrainSpec {
   std::string name;
   /// Selector over the labels of backend servers, with the built-in labels
-  /// `name`, `region`, `domain` and `kind`.
+  /// `name`, `region`, `domain` and `service`.
   std::string select;
   /// Seconds since the Unix epoch at which the drain starts; 0 means at once.
   std::int64_t start_unix_s = 0;
--- a/src/include/heatherlever/kind_spec.h
+++ b/src/include/heatherlever/kind_spec.h
@@ -12,6 +12,8 @@
 struct KindSpec {
   std::string name;
   Labels labels;
+  /// Service whose backend servers run it. Several kinds may share one.
+  std::string service;
   Rank rank = Rank::kThird;
   /// Whether the work may be run more than once. Non-idempotent work needs an
   /// Idempotency-Key and is run at most once.
@@ -20,8 +22,8 @@
   Duration deadline{0};
   /// Expected time that a warm backend server spends on one request.
   Duration service_time{0};
-  /// Share of the slots, from 0 to 1, that a flood of other work leaves to
-  /// this kind where kinds share backend servers.
+  /// Share of a pool's slots, from 0 to 1, that a flood of other work leaves
+  /// to this kind where kinds share a service.
   double floor_share = 0;
   /// How long the outcome of a non-idempotent job is remembered after its
   /// deadline.
