--- /dev/null
+++ b/src/heather-entry/platform_agent.h
@@ -0,0 +1,81 @@
+#ifndef HEATHER_ENTRY_PLATFORM_AGENT_H_
+#define HEATHER_ENTRY_PLATFORM_AGENT_H_
+
+#include <absl/status/statusor.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "heatherlever/config_record.h"
+#include "heatherlever/epoch_record.h"
+#include "heatherlever/host_record.h"
+#include "heatherlever/instant.h"
+
+namespace heathernet {
+class PlatformClient;
+}
+
+namespace heather_entry {
+
+struct EntrySettings;
+
+/// Keeps this entry host registered at the platform and reads the
+/// configuration and the epoch from it, on a thread of its own, so that a slow
+/// platform delays nothing else.
+class PlatformAgent {
+ public:
+  using OnConfig = std::function<void(const heatherlever::ConfigRecord&)>;
+  /// Also gets the configuration that the epoch names.
+  using OnEpoch = std::function<void(const heatherlever::EpochRecord&,
+                                     const heatherlever::ConfigRecord&)>;
+
+  /// `self` is registered as it is. InvalidArgument for unusable settings.
+  static absl::StatusOr<std::unique_ptr<PlatformAgent>> Create(
+      const EntrySettings& settings,
+      const heatherlever::HostRecord& self);
+
+  ~PlatformAgent();
+
+  /// Starts the thread. The functions run on it, for each newer version.
+  void Start(OnConfig on_config, OnEpoch on_epoch);
+
+  /// Marks this host as leaving in the platform's list, soon.
+  void Leave();
+
+  /// Takes this host off the platform's list and ends the thread.
+  void Stop();
+
+ private:
+  PlatformAgent(const EntrySettings& settings, heatherlever::HostRecord self);
+
+  void Run();
+  void Step();
+  void KeepRegistered();
+  void ReadConfig();
+  void ReadEpoch();
+
+  const heatherlever::Duration poll_interval_;
+  const heatherlever::HostRecord self_;
+  std::unique_ptr<heathernet::PlatformClient> client_;
+  OnConfig on_config_;
+  OnEpoch on_epoch_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool stopping_ = false;
+  bool leaving_ = false;
+  bool told_leaving_ = false;
+  int steps_to_register_ = 0;
+  heatherlever::ConfigRecord config_;
+  std::uint64_t epoch_number_ = 0;
+  bool reachable_ = true;
+  std::thread thread_;
+};
+
+}  // namespace heather_entry
+
+#endif  // HEATHER_ENTRY_PLATFORM_AGENT_H_
--- /dev/null
+++ b/src/heather-entry/router.cc
@@ -0,0 +1,571 @@
+#include "heather-entry/router.h"
+
+#include <algorithm>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "heather-entry/active_config.h"
+#include "heather-entry/entry_settings.h"
+#include "heather-entry/work_codec.h"
+#include "heatherlever/epoch_record.h"
+#include "heatherlever/placement_decision.h"
+#include "heatherlever/placement_explanation.h"
+#include "heatherlever/placement_options.h"
+#include "heatherlever/placement_request.h"
+#include "heathernet/event_loop.h"
+#include "heathernet/log.h"
+#include "heathernet/peer_transport.h"
+
+#include <spdlog/spdlog.h>
+
+namespace heather_entry {
+
+using heatherlever::Duration;
+using heatherlever::HostRecord;
+using heatherlever::Instant;
+using heatherlever::KindSpec;
+using heatherlever::PlacementOutcome;
+using heathernet::EventLoop;
+using heathernet::PeerOutcome;
+using heathernet::PeerResult;
+
+namespace {
+
+constexpr char kWorkPath[] = "/peer/work";
+constexpr char kDispatchPath[] = "/peer/dispatch";
+constexpr char kJobPath[] = "/peer/job";
+constexpr char kLeavingPath[] = "/peer/leaving";
+constexpr char kJobMessagePath[] = "/peer/job-message";
+constexpr char kPoolRegion[] = "x-pool-region";
+constexpr char kDepose[] = "x-depose";
+constexpr char kFrom[] = "x-from-name";
+
+// Owners of a pool that are asked, one after the other.
+constexpr std::size_t kMaxOwnersAsked = 3;
+
+// Callers may keep the answer to a look-up this long.
+constexpr int kLookUpTtlS = 5;
+
+constexpr int kStatusBadRequest = 400;
+constexpr std::chrono::seconds kLookUpTimeout(1);
+
+std::uint32_t Bytes(std::size_t size) {
+  return static_cast<std::uint32_t>(size);
+}
+
+heatherlever::PlacementRequest ToPlacement(const WorkRequest& request,
+                                           std::size_t kind) {
+  heatherlever::PlacementRequest placement;
+  placement.kind = kind;
+  placement.client_address = request.client_address;
+  placement.request_bytes = Bytes(request.body.size());
+  return placement;
+}
+
+std::set<std::string> NoServers() {
+  return {};
+}
+
+}  // namespace
+
+Router::Router(EventLoop& loop,
+               heathernet::PeerTransport& peers,
+               BackendClient& backends,
+               const EntrySettings& settings,
+               std::uint64_t incarnation)
+    : loop_(loop),
+      peers_(peers),
+      self_(settings.name),
+      region_(settings.region),
+      pools_(loop,
+             backends,
+             settings.name + "." + std::to_string(incarnation),
+             incarnation),
+      jobs_(loop, peers, directory_, pools_, {settings.name, incarnation}) {
+  jobs_.SetPlacer(
+      [this](const WorkRequest& request) { return PlaceJob(request); });
+  jobs_.SetRemoteDispatch(
+      [this](const WorkRequest& request, const PoolName& pool, Done done) {
+        DispatchRemote(request, pool, std::move(done));
+      });
+  jobs_.SetRedirect(
+      [this](const WorkRequest& request, const std::string& host, Done done) {
+        SendJob(request, host, false, EventLoop::Now() + request.remaining,
+                std::move(done));
+      });
+}
+
+Router::~Router() = default;
+
+// Configuration and epoch -----------------------------------------------------
+
+void Router::InstallConfig(std::shared_ptr<const ActiveConfig> config) {
+  if (config_ && config->version <= config_->version) {
+    return;
+  }
+  auto placement = heatherlever::Placement::Create(
+      config->spec, region_, config->blocks, heatherlever::PlacementOptions());
+  if (!placement.ok()) {
+    heathernet::PartLogger("config")->error(
+        "version {} is not usable here: {}", config->version,
+        std::string(placement.status().message()));
+    return;
+  }
+  if (placement_) {
+    placement->Adopt(*placement_, EventLoop::Now());
+  }
+  placement_ = *std::move(placement);
+  pools_.Configure(*config, NoServers());
+  heathernet::PartLogger("config")->info("version {} is in force",
+                                         config->version);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  config_ = std::move(config);
+}
+
+void Router::InstallEpoch(const heatherlever::EpochRecord& epoch,
+                          std::shared_ptr<const ActiveConfig> config) {
+  if (epoch.number <= directory_.epoch().number) {
+    return;
+  }
+  directory_.InstallEpoch(epoch);
+  jobs_.InstallEpoch();
+  heathernet::PartLogger("epoch")->info("epoch {} is in force, {} members",
+                                        epoch.number, epoch.members.size());
+  const std::lock_guard<std::mutex> lock(mutex_);
+  epoch_config_ = std::move(config);
+  epoch_installed_ = true;
+}
+
+std::shared_ptr<const ActiveConfig> Router::config() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return config_;
+}
+
+std::optional<KindSpec> Router::Kind(const std::string& name) const {
+  const auto active = config();
+  const auto index = active ? active->KindIndex(name) : std::nullopt;
+  if (!index) {
+    return std::nullopt;
+  }
+  return active->spec.kinds[*index];
+}
+
+std::vector<std::string> Router::KindNames() const {
+  std::vector<std::string> names;
+  if (const auto active = config()) {
+    for (const KindSpec& kind : active->spec.kinds) {
+      names.push_back(kind.name);
+    }
+  }
+  return names;
+}
+
+bool Router::Ready() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return config_ && epoch_installed_;
+}
+
+// Requests of callers ---------------------------------------------------------
+
+void Router::Submit(const WorkRequest& request, Done done) {
+  const Instant deadline = EventLoop::Now() + request.remaining;
+  loop_.Post([this, request, deadline, done = std::move(done)] {
+    WorkRequest posted = request;
+    posted.remaining = deadline - EventLoop::Now();
+    ++in_progress_;
+    Route(posted, [this, done](const WorkAnswer& answer) {
+      --in_progress_;
+      done(answer);
+    });
+  });
+}
+
+void Router::Cancel(const std::string& exchange_id) {
+  heathernet::PartLogger("router")->debug("cancel {}", exchange_id);
+}
+
+void Router::Route(const WorkRequest& request, Done done) {
+  const auto active = config();
+  const auto kind = active->KindIndex(request.kind);
+  if (!kind) {
+    done(NotRun("kind-removed"));
+    return;
+  }
+  if (active->spec.kinds[*kind].idempotent) {
+    RouteIdempotent(request, *kind, std::move(done));
+  } else {
+    RouteJob(request, *kind, std::move(done));
+  }
+}
+
+void Router::RouteIdempotent(const WorkRequest& request,
+                             std::size_t kind,
+                             Done done) {
+  const auto decision =
+      placement_->Decide(ToPlacement(request, kind), EventLoop::Now());
+  if (decision.outcome == PlacementOutcome::kRefused) {
+    done(NotRun(std::string(PlacementReasonName(decision.reason)),
+                decision.retry_after));
+    return;
+  }
+  auto trip = std::make_shared<PoolTrip>();
+  trip->request = request;
+  trip->pool = {config()->spec.kinds[kind].service,
+                placement_->region_name(decision.region)};
+  trip->deadline = EventLoop::Now() + request.remaining;
+  trip->owners = directory_.Owners(trip->pool, EventLoop::Now());
+  trip->done = [this, kind, decision,
+                done = std::move(done)](const WorkAnswer& answer) {
+    OnPlacedDone(kind, decision, answer);
+    done(answer);
+  };
+  TryNextOwner(trip);
+}
+
+void Router::OnPlacedDone(std::size_t kind,
+                          const heatherlever::PlacementDecision& decision,
+                          const WorkAnswer& answer) {
+  if (decision.outcome != PlacementOutcome::kMoved) {
+    return;
+  }
+  placement_->OnMoveDone(kind, decision.region);
+  placement_->ChargeLink(decision.region, 0,
+                         static_cast<double>(answer.body.size()),
+                         EventLoop::Now());
+}
+
+void Router::TryNextOwner(const std::shared_ptr<PoolTrip>& trip) {
+  const Duration remaining = trip->deadline - EventLoop::Now();
+  const bool exhausted = trip->next >= trip->owners.size() ||
+                         trip->next >= kMaxOwnersAsked ||
+                         remaining <= Duration(0);
+  if (exhausted) {
+    trip->done(trip->certainly_not_sent ? NotRun("no-owner")
+                                        : Unknown("owner-silent"));
+    return;
+  }
+  const HostRecord owner = trip->owners[trip->next++];
+  trip->request.remaining = remaining;
+  if (owner.name == self_) {
+    RunInPool(trip->request, trip->pool, trip->done);
+    return;
+  }
+  auto message = EncodeWork(trip->request, kWorkPath);
+  message.headers[kPoolRegion] = trip->pool.region;
+  peers_.Call({owner.address, owner.peer_port}, std::move(message),
+              [this, trip, owner](const PeerResult& result) {
+                if (const auto answer = DecodeAnswer(result)) {
+                  directory_.ReportHeard(owner.name);
+                  trip->done(*answer);
+                  return;
+                }
+                directory_.ReportSilent(owner.name, EventLoop::Now());
+                trip->certainly_not_sent &=
+                    result.outcome == PeerOutcome::kNotSent;
+                TryNextOwner(trip);
+              });
+}
+
+void Router::RunInPool(const WorkRequest& request,
+                       const PoolName& pool,
+                       Done done) {
+  const auto kind = Kind(request.kind);
+  if (!kind) {
+    done(NotRun("kind-removed"));
+    return;
+  }
+  pools_.At(pool).Submit(request, *kind, true, nullptr, std::move(done));
+}
+
+// Jobs ------------------------------------------------------------------------
+
+PoolName Router::JobPool(const WorkRequest& request) const {
+  std::shared_ptr<const ActiveConfig> active;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    active = epoch_config_;
+  }
+  const auto kind = active->KindIndex(request.kind);
+  return {kind ? active->spec.kinds[*kind].service : "",
+          active->HomeOf(request.client_address,
+                         active->spec.regions.front().name)};
+}
+
+void Router::RouteJob(const WorkRequest& request,
+                      std::size_t /*kind*/,
+                      Done done) {
+  const std::string home = jobs_.Home(JobPool(request));
+  if (home.empty()) {
+    done(Unknown("no-home"));
+    return;
+  }
+  if (home == self_) {
+    RunJob(request, false, std::move(done));
+    return;
+  }
+  SendJob(request, home, false, EventLoop::Now() + request.remaining,
+          std::move(done));
+}
+
+std::string Router::BuddyOf(const PoolName& pool,
+                            const std::string& home) const {
+  for (const heatherlever::PoolAssignment& assignment :
+       directory_.epoch().pools) {
+    if (assignment.pool != pool.Text()) {
+      continue;
+    }
+    for (const heatherlever::HostId& member : assignment.term.members) {
+      if (member.name != home) {
+        return member.name;
+      }
+    }
+  }
+  return "";
+}
+
+void Router::SendJob(const WorkRequest& request,
+                     const std::string& host,
+                     bool depose,
+                     Instant deadline,
+                     Done done) {
+  const auto to = directory_.Find(host);
+  WorkRequest sent = request;
+  sent.remaining = deadline - EventLoop::Now();
+  if (!to || sent.remaining <= Duration(0)) {
+    done(Unknown("home-unreachable"));
+    return;
+  }
+  auto message = EncodeWork(sent, kJobPath);
+  if (depose) {
+    message.headers[kDepose] = "1";
+  }
+  peers_.Call({to->address, to->peer_port}, std::move(message),
+              [this, sent, host, depose, deadline,
+               done = std::move(done)](const PeerResult& result) {
+                if (const auto answer = DecodeAnswer(result)) {
+                  directory_.ReportHeard(host);
+                  done(*answer);
+                  return;
+                }
+                directory_.ReportSilent(host, EventLoop::Now());
+                const std::string buddy = BuddyOf(JobPool(sent), host);
+                if (depose || buddy.empty()) {
+                  done(Unknown("home-unreachable"));
+                  return;
+                }
+                if (buddy == self_) {
+                  WorkRequest here = sent;
+                  here.remaining = deadline - EventLoop::Now();
+                  RunJob(here, true, done);
+                  return;
+                }
+                SendJob(sent, buddy, true, deadline, done);
+              });
+}
+
+void Router::RunJob(const WorkRequest& request, bool depose, Done done) {
+  const auto kind = Kind(request.kind);
+  if (!kind || kind->idempotent) {
+    done(Unknown("kind-removed"));
+    return;
+  }
+  jobs_.Submit(request, *kind, JobPool(request), depose, std::move(done));
+}
+
+JobPlace Router::PlaceJob(const WorkRequest& request) {
+  JobPlace place;
+  const auto kind = config()->KindIndex(request.kind);
+  if (!kind) {
+    place.refusal = NotRun("kind-removed");
+    return place;
+  }
+  const auto decision =
+      placement_->Decide(ToPlacement(request, *kind), EventLoop::Now());
+  if (decision.outcome == PlacementOutcome::kRefused) {
+    place.refusal = NotRun(std::string(PlacementReasonName(decision.reason)),
+                           decision.retry_after);
+    return place;
+  }
+  place.admitted = true;
+  place.pool = {config()->spec.kinds[*kind].service,
+                placement_->region_name(decision.region)};
+  place.local = place.pool.region == region_;
+  place.on_done = [this, kind = *kind, decision](const WorkAnswer& answer) {
+    OnPlacedDone(kind, decision, answer);
+  };
+  return place;
+}
+
+void Router::DispatchRemote(const WorkRequest& request,
+                            const PoolName& pool,
+                            Done done) {
+  const auto owners = directory_.Owners(pool, EventLoop::Now());
+  if (owners.empty()) {
+    done(NotRun("no-owner"));
+    return;
+  }
+  if (owners.front().name == self_) {
+    RunInPool(request, pool, std::move(done));
+    return;
+  }
+  auto message = EncodeWork(request, kDispatchPath);
+  message.headers[kPoolRegion] = pool.region;
+  const HostRecord owner = owners.front();
+  peers_.Call({owner.address, owner.peer_port}, std::move(message),
+              [this, owner, done = std::move(done)](const PeerResult& result) {
+                if (const auto answer = DecodeAnswer(result)) {
+                  done(*answer);
+                  return;
+                }
+                directory_.ReportSilent(owner.name, EventLoop::Now());
+                done(result.outcome == PeerOutcome::kNotSent
+                         ? NotRun("owner-unreachable")
+                         : Unknown("owner-silent"));
+              });
+}
+
+// Requests of peers -----------------------------------------------------------
+
+void Router::OnPeerRequest(const heathernet::PeerRequest& request,
+                           const heathernet::PeerResponder& responder) {
+  if (request.path == kJobMessagePath) {
+    jobs_.OnMessage(request);
+    responder.Respond({});
+    return;
+  }
+  if (request.path == kLeavingPath) {
+    const auto from = request.headers.find(kFrom);
+    if (from != request.headers.end()) {
+      directory_.ReportLeaving(from->second);
+    }
+    responder.Respond({});
+    return;
+  }
+  const auto work = DecodeWork(request);
+  if (!work || !Ready()) {
+    responder.Respond({kStatusBadRequest, {}, "not a request for work"});
+    return;
+  }
+  ++in_progress_;
+  const Done done = [this, responder](const WorkAnswer& answer) {
+    --in_progress_;
+    responder.Respond(EncodeAnswer(answer));
+  };
+  if (request.path == kWorkPath || request.path == kDispatchPath) {
+    const auto region = request.headers.find(kPoolRegion);
+    RunInPool(*work,
+              {Kind(work->kind).value_or(KindSpec()).service,
+               region == request.headers.end() ? region_ : region->second},
+              done);
+  } else if (request.path == kJobPath) {
+    RunJob(*work, request.headers.count(kDepose) != 0, done);
+  } else {
+    done(Unknown("no-such-path"));
+  }
+}
+
+// Look-ups --------------------------------------------------------------------
+
+std::string Router::LookUp(const std::string& kind,
+                           std::uint32_t client_address) {
+  auto promise = std::make_shared<std::promise<std::string>>();
+  auto answer = promise->get_future();
+  loop_.Post([this, promise, kind, client_address] {
+    promise->set_value(LookUpOnLoop(kind, client_address));
+  });
+  if (answer.wait_for(kLookUpTimeout) != std::future_status::ready) {
+    return "{}";
+  }
+  return answer.get();
+}
+
+std::string Router::LookUpOnLoop(const std::string& kind,
+                                 std::uint32_t client_address) const {
+  const auto active = config();
+  const std::string home = active->HomeOf(client_address, region_);
+  const KindSpec spec = active->spec.kinds[*active->KindIndex(kind)];
+  const PoolName pool = {spec.service, directory_.ActingRegion(home)};
+  std::vector<HostRecord> hosts = directory_.Owners(pool, EventLoop::Now());
+  const std::string first =
+      spec.idempotent ? "" : jobs_.Home({spec.service, home});
+  std::stable_partition(
+      hosts.begin(), hosts.end(),
+      [&first](const HostRecord& host) { return host.name == first; });
+  nlohmann::json list = nlohmann::json::array();
+  for (const HostRecord& host : hosts) {
+    list.push_back({{"name", host.name},
+                    {"url", "http://" + host.address + ":" +
+                                std::to_string(host.http_port)}});
+  }
+  const nlohmann::json answer = {{"kind", kind},
+                                 {"region", pool.region},
+                                 {"ttl_s", kLookUpTtlS},
+                                 {"entry_hosts", list}};
+  return answer.dump();
+}
+
+// Shutdown and state ----------------------------------------------------------
+
+void Router::Leave() {
+  leaving_ = true;
+  directory_.ReportLeaving(self_);
+  jobs_.Leave();
+  for (const HostRecord& host : directory_.epoch().members) {
+    if (host.name == self_) {
+      continue;
+    }
+    heathernet::PeerRequest message;
+    message.path = kLeavingPath;
+    message.headers = {{kFrom, self_}};
+    peers_.Call({host.address, host.peer_port}, std::move(message),
+                [](const PeerResult&) {});
+  }
+}
+
+bool Router::idle() const {
+  return in_progress_ == 0 && pools_.pending() == 0 && jobs_.idle();
+}
+
+std::string Router::DumpState() const {
+  nlohmann::json pools = nlohmann::json::array();
+  for (const auto& [name, pool] : pools_.pools()) {
+    const auto summary = pool->Summary();
+    pools.push_back({{"pool", name.Text()},
+                     {"slots", summary.slots},
+                     {"usable_slots", summary.usable_slots},
+                     {"free_slots", summary.free_slots},
+                     {"in_flight", summary.in_flight},
+                     {"queued", summary.queued},
+                     {"headroom", summary.headroom}});
+  }
+  const auto active = config();
+  const nlohmann::json state = {
+      {"name", self_},
+      {"region", region_},
+      {"leaving", leaving_},
+      {"in_progress", in_progress_},
+      {"config_version", active ? active->version : 0},
+      {"config_digest", active ? active->digest : ""},
+      {"epoch", directory_.epoch().number},
+      {"members", directory_.epoch().members.size()},
+      {"silent_members", directory_.SilentCount("", EventLoop::Now())},
+      {"pools", pools},
+      {"jobs", jobs_.Dump()}};
+  return state.dump(2);
+}
+
+std::vector<std::string> Router::Explain(const std::string& kind,
+                                         std::uint32_t client_address) const {
+  const auto active = config();
+  const auto index = active ? active->KindIndex(kind) : std::nullopt;
+  if (!index || !placement_) {
+    return {"no kind of work is named '" + kind + "'"};
+  }
+  heatherlever::PlacementRequest request;
+  request.kind = *index;
+  request.client_address = client_address;
+  return placement_->Explain(request, EventLoop::Now()).Lines();
+}
+
+}  // namespace heather_entry
--- /dev/null
+++ b/src/heather-load/main.cc
@@ -0,0 +1,95 @@
+// Open-loop load over entry hosts, with a table by kind of work.
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <map>
+
+#include "heather-load/arrival.h"
+#include "heather-load/load_plan.h"
+#include "heather-load/load_run.h"
+#include "heather-load/load_table.h"
+#include "heather-load/run_check.h"
+
+namespace heather_load {
+namespace {
+
+constexpr int kExitBroken = 1;
+constexpr int kExitBadInput = 2;
+
+bool PromisesKept(const std::vector<LoadRow>& rows, const RunCheck& check) {
+  const bool whole = std::all_of(rows.begin(), rows.end(), [](const auto& row) {
+    return row.broken == 0;
+  });
+  return whole && check.doubled == 0 && check.false_not_run == 0 &&
+         check.false_done == 0;
+}
+
+void PrintReasons(const std::vector<RequestResult>& results) {
+  std::map<std::string, int> counts;
+  for (const RequestResult& result : results) {
+    if (!result.reason.empty()) {
+      ++counts[result.reason];
+    }
+  }
+  for (const auto& [reason, count] : counts) {
+    std::cout << "  " << reason << ": " << count << "\n";
+  }
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options(
+      "heather-load",
+      "Sends an open-loop load and checks every answer.\n\n"
+      "Example:\n  heather-load --config examples/vatuwaqa/load.yaml\n\n"
+      "Exit codes: 0 every promise kept, 1 one broken, 2 bad input\n");
+  auto add = options.add_options();
+  add("config", "the load (YAML)", cxxopts::value<std::string>());
+  add("json", "print JSON instead of a table");
+  add("verbose", "print why requests were not served");
+  add("version", "print the version");
+  add("help", "print this help");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  if (parsed.count("version") != 0) {
+    std::cout << HEATHER_VERSION << "\n";
+    return 0;
+  }
+  if (parsed.count("config") == 0) {
+    std::cerr << "heather-load: --config FILE is missing; see --help\n";
+    return kExitBadInput;
+  }
+  const auto plan = LoadLoadPlan(parsed["config"].as<std::string>());
+  if (!plan.ok()) {
+    std::cerr << "heather-load: " << plan.status().message() << "\n";
+    return kExitBadInput;
+  }
+  const std::vector<Arrival> arrivals = MakeArrivals(*plan);
+  const std::vector<RequestResult> results = RunLoad(*plan, arrivals);
+  const std::vector<LoadRow> rows = MakeRows(*plan, results);
+  const RunCheck check = CheckRuns(*plan, results);
+  if (parsed.count("json") != 0) {
+    std::cout << ToJson(rows, check).dump(2) << "\n";
+  } else {
+    std::cout << FormatTable(rows, check);
+  }
+  if (parsed.count("verbose") != 0) {
+    PrintReasons(results);
+  }
+  return PromisesKept(rows, check) ? 0 : kExitBroken;
+}
+
+}  // namespace
+}  // namespace heather_load
+
+int main(int argc, char** argv) {
+  try {
+    return heather_load::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "heather-load: " << error.what() << "\n";
+    return heather_load::kExitBadInput;
+  }
+}
--- a/src/libheatherlever/yaml_map.cc
+++ b/src/libheatherlever/yaml_map.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <fstream>
 #include <map>
+#include <sstream>
 
 #include "heatherlever/ipv4.h"
 #include "heatherlever/nearest_word.h"
@@ -42,6 +44,16 @@
   }
 }
 
+YamlMap YamlMap::ParseFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    throw SettingsError(path, 0, "the file cannot be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return Parse(text.str(), path);
+}
+
 void YamlMap::Fail(const std::string& key, const std::string& message) const {
   const YAML::Node value = node_[key];
   const int line = LineOf(value.IsDefined() ? value : node_);
--- a/src/libheatherlever/yaml_map.h
+++ b/src/libheatherlever/yaml_map.h
@@ -23,6 +23,9 @@
   /// Parses the text of a file whose top is a mapping.
   static YamlMap Parse(const std::string& text, const std::string& file);
 
+  /// Like Parse, with the text of the file at `path`.
+  static YamlMap ParseFile(const std::string& path);
+
   bool Has(const std::string& key);
 
   std::string Text(const std::string& key);
