Declare the pool's queue: events, actions, options

Cause: the entry host needs one object that owns a pool's slots and queue. Ruled out: binding a request to a server on arrival, as twenty choosers on lagging load collide (DESIGN.md, section 2).

--- /dev/null
+++ b/src/include/heatherlever/pool_options.h
@@ -0,0 +1,77 @@
+#ifndef HEATHERLEVER_POOL_OPTIONS_H_
+#define HEATHERLEVER_POOL_OPTIONS_H_
+
+#include <cstddef>
+
+#include "heatherlever/instant.h"
+
+namespace heatherlever {
+
+/// Order in which a caller's own idempotent requests leave the queue.
+enum class QueueOrder {
+  kFifo,
+  /// First in, first out; last in, first out while the queue is overloaded.
+  kAdaptiveLifo,
+};
+
+/// How the limit of a backend server's concurrent requests adapts.
+enum class LimitPolicy {
+  /// Every slot, always.
+  kFixed,
+  /// Additive increase, multiplicative decrease on sheds and slowness.
+  kAimd,
+  /// Scaled by the ratio of the usual to the present latency.
+  kGradient,
+};
+
+/// Settings of a PoolQueue. The defaults suit service times of 10 to 100 ms.
+struct PoolOptions {
+  /// Requests that may wait in the queue.
+  std::size_t max_queue = 4096;
+  QueueOrder queue_order = QueueOrder::kFifo;
+  /// The queue counts as overloaded after it has not been empty this long.
+  Duration overload_after = std::chrono::milliseconds(100);
+
+  /// A request is admitted if its expected wait and this many service times
+  /// fit before its deadline.
+  double admission_service_times = 3;
+
+  /// Attempts that one request may have.
+  int max_attempts = 3;
+  /// Retries and hedges allowed, as a share of the requests admitted.
+  double retry_share = 0.1;
+  /// Retries and hedges that may be saved up for a burst.
+  double retry_burst = 10;
+  /// Idempotent work is hedged after this many expected service times, while
+  /// slots are free; 0 means never.
+  double hedge_service_times = 4;
+
+  /// Time for which the slot of an attempt that may still run stays taken
+  /// after the attempt's deadline, unless the server confirms its end.
+  Duration slot_quarantine = std::chrono::milliseconds(500);
+
+  LimitPolicy limit_policy = LimitPolicy::kAimd;
+  /// Share of a cold server's slots that are used at first; at least one.
+  double cold_share = 0.25;
+  /// Share of each server's slots that a new owner uses at first.
+  double adopted_share = 0.5;
+  /// Least time between two steps, by one slot, of a growing limit.
+  Duration growth_interval = std::chrono::milliseconds(250);
+  /// A server is slow if its smoothed latency is above this multiple of the
+  /// pool's median.
+  double slow_multiple = 2;
+
+  /// Failures in a row that eject a server.
+  int eject_after_failures = 3;
+  /// Multiple of the pool's median latency that ejects a server.
+  double eject_latency_multiple = 4;
+  /// Largest share of the pool's servers ejected at the same time.
+  double max_ejected_share = 0.34;
+  /// First ejection; each further one lasts twice as long.
+  Duration ejection = std::chrono::seconds(1);
+  Duration max_ejection = std::chrono::seconds(30);
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_POOL_OPTIONS_H_
--- /dev/null
+++ b/src/include/heatherlever/pool_queue.h
@@ -0,0 +1,100 @@
+#ifndef HEATHERLEVER_POOL_QUEUE_H_
+#define HEATHERLEVER_POOL_QUEUE_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "heatherlever/attempt_result.h"
+#include "heatherlever/backend_spec.h"
+#include "heatherlever/instant.h"
+#include "heatherlever/pool_action.h"
+#include "heatherlever/pool_options.h"
+#include "heatherlever/pool_request.h"
+#include "heatherlever/pool_summary.h"
+
+namespace heatherlever {
+
+class PoolEngine;
+
+/// A load report of a backend server. Only a hint: it orders servers that are
+/// otherwise alike, and never frees a slot.
+struct BackendReport {
+  std::string backend;
+  int in_flight = 0;
+  bool healthy = true;
+};
+
+/// The queue and the slot ledger of one pool, kept by the one entry host that
+/// owns it. A request is bound to a backend server only when a slot is free.
+///
+/// Events go in with their instants, which never go back; actions are
+/// collected by TakeActions. The same events give the same actions.
+class PoolQueue {
+ public:
+  /// Fails with kInvalidArgument if an option is out of range.
+  static absl::StatusOr<std::unique_ptr<PoolQueue>> Create(
+      const PoolOptions& options,
+      std::uint64_t seed);
+  ~PoolQueue();
+  PoolQueue(const PoolQueue&) = delete;
+  PoolQueue& operator=(const PoolQueue&) = delete;
+
+  /// Replaces the pool's servers. Those named in `draining`, and those no
+  /// longer listed, get no new work from now on. Servers of the first call
+  /// count as warm, later ones and those back from a drain as cold.
+  void SetBackends(const std::vector<BackendSpec>& backends,
+                   const std::set<std::string>& draining,
+                   Instant now);
+
+  /// Takes the pool over from another owner, after SetBackends: the reported
+  /// requests in flight hold their slots until `hold` has passed, and every
+  /// server starts with a reduced allowance.
+  void AdoptPool(const std::vector<BackendReport>& reports,
+                 Duration hold,
+                 Instant now);
+
+  /// Takes a load report as a hint.
+  void ReportLoad(const BackendReport& report, Instant now);
+
+  /// Queues or refuses a request; a refusal is a FinishAction. Returns false,
+  /// with no action, if the id is in use.
+  bool Submit(const PoolRequest& request, Instant now);
+
+  /// Lets a request that was submitted as not ready be dispatched. No effect
+  /// if it has ended.
+  void MarkReady(RequestId id, Instant now);
+
+  /// Withdraws a request. One that waits finishes as not run at once; one in
+  /// flight finishes when its attempt's end is known, or at its deadline.
+  void Cancel(RequestId id, Instant now);
+
+  /// Reports how an attempt ended. After kFailed or kTimeout, a second report
+  /// that the server has ended it frees the slot early.
+  void AttemptDone(AttemptId attempt, AttemptResult result, Instant now);
+
+  /// Does what is due by `now`.
+  void Tick(Instant now);
+
+  /// When Tick is to be called at the latest; nothing if nothing is pending.
+  std::optional<Instant> NextWakeup() const;
+
+  /// The actions since the last call, in order.
+  std::vector<PoolAction> TakeActions();
+
+  PoolSummary Summary(Instant now) const;
+
+ private:
+  explicit PoolQueue(std::unique_ptr<PoolEngine> engine);
+
+  std::unique_ptr<PoolEngine> engine_;
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_POOL_QUEUE_H_
