Keep a pool's slots and queue at its owner: PoolQueue

Cause: a request is to be bound to a backend server only when a slot is free, by the one entry host that owns the pool (DESIGN.md, section 2). Contents: slot ledger, ranks with floors by slot-time accounts, round robin by caller, admission by deadline, coalescing, retry budget, hedges, quarantine of unconfirmed slots, AIMD limit, outlier ejection, take-over by a new owner. Ruled out: releasing a slot when the attempt's connection breaks, as the server may still run it.

--- a/src/include/heatherlever/pool_options.h
+++ b/src/include/heatherlever/pool_options.h
@@ -42,9 +42,12 @@
   double retry_share = 0.1;
   /// Retries and hedges that may be saved up for a burst.
   double retry_burst = 10;
-  /// Idempotent work is hedged after this many expected service times, while
-  /// slots are free; 0 means never.
-  double hedge_service_times = 4;
+  /// An attempt is overdue after this many expected service times: idempotent
+  /// work is hedged while slots are free, and a server that has answered
+  /// nothing since then is counted as failing.
+  double overdue_service_times = 4;
+  /// Whether overdue idempotent work is hedged.
+  bool hedge = true;
 
   /// Time for which the slot of an attempt that may still run stays taken
   /// after the attempt's deadline, unless the server confirms its end.
--- a/src/include/heatherlever/pool_queue.h
+++ b/src/include/heatherlever/pool_queue.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "heatherlever/attempt_result.h"
+#include "heatherlever/backend_report.h"
 #include "heatherlever/backend_spec.h"
 #include "heatherlever/instant.h"
 #include "heatherlever/pool_action.h"
@@ -22,14 +23,6 @@
 
 class PoolEngine;
 
-/// A load report of a backend server. Only a hint: it orders servers that are
-/// otherwise alike, and never frees a slot.
-struct BackendReport {
-  std::string backend;
-  int in_flight = 0;
-  bool healthy = true;
-};
-
 /// The queue and the slot ledger of one pool, kept by the one entry host that
 /// owns it. A request is bound to a backend server only when a slot is free.
 ///
@@ -60,7 +53,7 @@
                  Instant now);
 
   /// Takes a load report as a hint.
-  void ReportLoad(const BackendReport& report, Instant now);
+  void ReportLoad(const BackendReport& report);
 
   /// Queues or refuses a request; a refusal is a FinishAction. Returns false,
   /// with no action, if the id is in use.
@@ -87,7 +80,7 @@
   /// The actions since the last call, in order.
   std::vector<PoolAction> TakeActions();
 
-  PoolSummary Summary(Instant now) const;
+  PoolSummary Summary() const;
 
  private:
   explicit PoolQueue(std::unique_ptr<PoolEngine> engine);
--- /dev/null
+++ b/src/libheatherlever/backend_health.cc
@@ -0,0 +1,65 @@
+#include "backend_health.h"
+
+#include <algorithm>
+
+namespace heatherlever {
+namespace {
+
+constexpr int kSmoothing = 10;
+constexpr int kMinAnswers = 8;
+
+// Answers after which an earlier ejection is forgotten.
+constexpr int kForgiveAnswers = 200;
+
+constexpr int kMaxDoublings = 16;
+
+}  // namespace
+
+BackendHealth::BackendHealth(const PoolOptions& options) : options_(options) {}
+
+bool BackendHealth::has_latency() const {
+  return answers_ >= kMinAnswers;
+}
+
+void BackendHealth::OnAnswer(Duration latency) {
+  ++answers_;
+  latency_ += (latency - latency_) / std::min(answers_, kSmoothing);
+  failures_in_row_ = 0;
+  if (answers_ >= kForgiveAnswers) {
+    ejections_ = 0;
+  }
+}
+
+void BackendHealth::OnFailure() {
+  ++failures_in_row_;
+}
+
+bool BackendHealth::IsOutlier(Duration median_latency) const {
+  if (ejected_) {
+    return false;
+  }
+  if (failures_in_row_ >= options_.eject_after_failures) {
+    return true;
+  }
+  const double slow = options_.eject_latency_multiple *
+                      static_cast<double>(median_latency.count());
+  return has_latency() && median_latency > Duration(0) &&
+         static_cast<double>(latency_.count()) > slow;
+}
+
+void BackendHealth::Eject(Instant now) {
+  const Duration backoff =
+      options_.ejection * (1 << std::min(ejections_, kMaxDoublings));
+  ejected_until_ = now + std::min(backoff, options_.max_ejection);
+  ++ejections_;
+  ejected_ = true;
+}
+
+void BackendHealth::Return() {
+  ejected_ = false;
+  answers_ = 0;
+  latency_ = Duration(0);
+  failures_in_row_ = options_.eject_after_failures - 1;
+}
+
+}  // namespace heatherlever
--- /dev/null
+++ b/src/libheatherlever/backend_ledger.cc
@@ -0,0 +1,258 @@
+#include "backend_ledger.h"
+
+#include <algorithm>
+
+namespace heatherlever {
+namespace {
+
+// Answers between two computations of the pool's median latency.
+constexpr int kAnswersPerMedian = 16;
+
+bool Contains(const std::vector<BackendIndex>& list, BackendIndex index) {
+  return std::find(list.begin(), list.end(), index) != list.end();
+}
+
+// Whether `left` is the better choice of two servers with a free slot. Load
+// reports only decide between servers that the ledger holds for equal.
+int Compare(const BackendState& left, const BackendState& right) {
+  if (left.free() != right.free()) {
+    return left.free() - right.free();
+  }
+  if (left.report.healthy != right.report.healthy) {
+    return left.report.healthy ? 1 : -1;
+  }
+  return 0;
+}
+
+}  // namespace
+
+BackendLedger::BackendLedger(const PoolOptions& options, std::uint64_t seed)
+    : options_(options), random_(seed) {}
+
+void BackendLedger::Update(const std::vector<BackendSpec>& specs,
+                           const std::set<std::string>& draining,
+                           Instant now) {
+  std::set<std::string> listed;
+  for (const BackendSpec& spec : specs) {
+    listed.insert(spec.name);
+    bool added = false;
+    BackendState& state = StateOf(spec, &added);
+    const bool drains = draining.count(spec.name) != 0;
+    const bool returns = !state.listed || (state.draining && !drains);
+    state.listed = true;
+    state.draining = drains;
+    state.slots = spec.slots;
+    state.limit.SetSlots(spec.slots);
+    if (returns || (added && updated_before_)) {
+      state.limit.Restart(options_.cold_share, now);
+    }
+  }
+  for (BackendState& state : states_) {
+    state.listed = listed.count(state.name) != 0;
+  }
+  updated_before_ = true;
+}
+
+void BackendLedger::Adopt(const std::vector<BackendReport>& reports,
+                          Duration hold,
+                          Instant now) {
+  for (const BackendReport& report : reports) {
+    const auto found = by_name_.find(report.backend);
+    if (found == by_name_.end()) {
+      continue;
+    }
+    BackendState& state = states_[found->second];
+    state.foreign = std::clamp(report.in_flight, 0, state.slots);
+    state.foreign_until = now + hold;
+    state.report = report;
+  }
+  for (BackendState& state : states_) {
+    state.limit.Restart(options_.adopted_share, now);
+  }
+}
+
+void BackendLedger::Report(const BackendReport& report) {
+  const auto found = by_name_.find(report.backend);
+  if (found != by_name_.end()) {
+    states_[found->second].report = report;
+  }
+}
+
+std::optional<BackendIndex> BackendLedger::Pick(
+    const std::vector<BackendIndex>& excluded) {
+  std::optional<BackendIndex> best;
+  std::uint64_t ties = 1;
+  for (BackendIndex i = 0; i < states_.size(); ++i) {
+    if (states_[i].free() == 0 || Contains(excluded, i)) {
+      continue;
+    }
+    const int order = best ? Compare(states_[i], states_[*best]) : 1;
+    ties = order > 0 ? 1 : ties + (order == 0 ? 1 : 0);
+    if (order > 0 || (order == 0 && random_() % ties == 0)) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+bool BackendLedger::HasOther(const std::vector<BackendIndex>& excluded) const {
+  for (BackendIndex i = 0; i < states_.size(); ++i) {
+    if (states_[i].listed && !states_[i].draining && !Contains(excluded, i)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void BackendLedger::Take(BackendIndex index) {
+  ++states_[index].in_flight;
+}
+
+void BackendLedger::Release(BackendIndex index) {
+  --states_[index].in_flight;
+}
+
+void BackendLedger::OnResult(BackendIndex index,
+                             AttemptResult result,
+                             Duration latency,
+                             Instant now) {
+  BackendState& state = states_[index];
+  switch (result) {
+    case AttemptResult::kOk: {
+      answered_[index] = now;
+      state.health.OnAnswer(latency);
+      const Duration median = MedianLatency();
+      const bool comparable =
+          state.health.has_latency() && median > Duration(0);
+      const double slowness =
+          comparable ? static_cast<double>(state.health.latency().count()) /
+                           static_cast<double>(median.count())
+                     : 1;
+      state.limit.OnAnswer(slowness, now);
+      EjectOutlier(index, now);
+      return;
+    }
+    case AttemptResult::kShed:
+      answered_[index] = now;
+      state.limit.OnShed(now);
+      return;
+    case AttemptResult::kCancelled:
+      answered_[index] = now;
+      return;
+    case AttemptResult::kNotSent:
+    case AttemptResult::kFailed:
+    case AttemptResult::kError:
+    case AttemptResult::kTimeout:
+      CountFailure(index, now);
+      return;
+  }
+}
+
+void BackendLedger::OnSilence(BackendIndex index, Instant now) {
+  CountFailure(index, now);
+}
+
+void BackendLedger::Advance(Instant now) {
+  for (BackendState& state : states_) {
+    if (state.foreign != 0 && state.foreign_until <= now) {
+      state.foreign = 0;
+    }
+    if (state.health.ejected() && state.health.ejected_until() <= now) {
+      state.health.Return();
+      state.limit.Restart(options_.cold_share, now);
+    }
+  }
+}
+
+std::optional<Instant> BackendLedger::NextDue() const {
+  std::optional<Instant> next;
+  const auto consider = [&next](Instant at) {
+    next = next ? std::min(*next, at) : at;
+  };
+  for (const BackendState& state : states_) {
+    if (state.foreign != 0) {
+      consider(state.foreign_until);
+    }
+    if (state.health.ejected()) {
+      consider(state.health.ejected_until());
+    }
+  }
+  return next;
+}
+
+int BackendLedger::usable_slots() const {
+  int sum = 0;
+  for (const BackendState& state : states_) {
+    sum += state.usable();
+  }
+  return sum;
+}
+
+int BackendLedger::free_slots() const {
+  int sum = 0;
+  for (const BackendState& state : states_) {
+    sum += state.free();
+  }
+  return sum;
+}
+
+// Servers that left are kept, as their attempts and their history matter if
+// they return; configuration bounds their number.
+BackendState& BackendLedger::StateOf(const BackendSpec& spec, bool* added) {
+  const auto [found, inserted] =
+      by_name_.try_emplace(spec.name, states_.size());
+  *added = inserted;
+  if (inserted) {
+    states_.emplace_back(options_, spec.name, spec.slots);
+    answered_.emplace_back(0);
+  }
+  return states_[found->second];
+}
+
+Duration BackendLedger::MedianLatency() {
+  if (answers_to_median_ > 0) {
+    --answers_to_median_;
+    return median_;
+  }
+  answers_to_median_ = kAnswersPerMedian;
+  latencies_.clear();
+  for (const BackendState& state : states_) {
+    if (state.health.has_latency()) {
+      latencies_.push_back(state.health.latency());
+    }
+  }
+  if (latencies_.empty()) {
+    return median_;
+  }
+  const auto middle = latencies_.begin() +
+                      static_cast<std::ptrdiff_t>((latencies_.size() - 1) / 2);
+  std::nth_element(latencies_.begin(), middle, latencies_.end());
+  median_ = *middle;
+  return median_;
+}
+
+void BackendLedger::EjectOutlier(BackendIndex index, Instant now) {
+  BackendState& state = states_[index];
+  if (state.health.IsOutlier(median_) && MayEject()) {
+    state.health.Eject(now);
+  }
+}
+
+bool BackendLedger::MayEject() const {
+  int listed = 0;
+  int ejected = 0;
+  for (const BackendState& state : states_) {
+    if (state.listed) {
+      ++listed;
+      ejected += state.health.ejected() ? 1 : 0;
+    }
+  }
+  return ejected + 1 <= options_.max_ejected_share * listed;
+}
+
+void BackendLedger::CountFailure(BackendIndex index, Instant now) {
+  states_[index].health.OnFailure();
+  EjectOutlier(index, now);
+}
+
+}  // namespace heatherlever
--- /dev/null
+++ b/src/libheatherlever/backend_state.h
@@ -0,0 +1,48 @@
+#ifndef HEATHERLEVER_BACKEND_STATE_H_
+#define HEATHERLEVER_BACKEND_STATE_H_
+
+#include <string>
+#include <utility>
+
+#include "backend_health.h"
+#include "concurrency_limit.h"
+#include "heatherlever/backend_report.h"
+#include "heatherlever/instant.h"
+
+namespace heatherlever {
+
+/// One backend server in a BackendLedger.
+struct BackendState {
+  BackendState(const PoolOptions& options, std::string server, int slot_count)
+      : name(std::move(server)),
+        slots(slot_count),
+        limit(options, slot_count),
+        health(options) {}
+
+  std::string name;
+  int slots;
+  /// Whether the configuration lists it.
+  bool listed = true;
+  bool draining = false;
+  /// Own attempts that hold a slot.
+  int in_flight = 0;
+  /// Slots that an earlier owner's requests hold, until `foreign_until`.
+  int foreign = 0;
+  Instant foreign_until{0};
+  ConcurrencyLimit limit;
+  BackendHealth health;
+  /// Last load report.
+  BackendReport report;
+
+  /// Whether it takes new work.
+  bool active() const { return listed && !draining && !health.ejected(); }
+  /// Slots that may be used; 0 if it takes no new work.
+  int usable() const { return active() ? limit.limit() : 0; }
+  int taken() const { return in_flight + foreign; }
+  /// Slots that a new request may have.
+  int free() const { return usable() > taken() ? usable() - taken() : 0; }
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_BACKEND_STATE_H_
--- /dev/null
+++ b/src/libheatherlever/concurrency_limit.h
@@ -0,0 +1,47 @@
+#ifndef HEATHERLEVER_CONCURRENCY_LIMIT_H_
+#define HEATHERLEVER_CONCURRENCY_LIMIT_H_
+
+#include "heatherlever/instant.h"
+#include "heatherlever/pool_options.h"
+
+namespace heatherlever {
+
+/// Adaptive limit of the requests that one backend server runs at a time: at
+/// least 1, at most its slots. A cold server starts low and its limit grows
+/// only while it neither sheds nor slows.
+class ConcurrencyLimit {
+ public:
+  /// Starts at every slot.
+  ConcurrencyLimit(const PoolOptions& options, int slots);
+
+  /// Requests that may run at the same time.
+  int limit() const;
+
+  /// Takes a changed number of slots.
+  void SetSlots(int slots);
+
+  /// Starts over with a share of the slots.
+  void Restart(double share, Instant now);
+
+  /// An answer came; `slowness` is the server's smoothed latency divided by
+  /// the pool's median.
+  void OnAnswer(double slowness, Instant now);
+
+  /// The server shed a request.
+  void OnShed(Instant now);
+
+ private:
+  void Grow(Instant now);
+  void Shrink(Instant now);
+  void FollowGradient(double slowness, Instant now);
+
+  const PoolOptions& options_;
+  int slots_;
+  double limit_;
+  Instant next_growth_{0};
+  Instant next_shrink_{0};
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_CONCURRENCY_LIMIT_H_
--- /dev/null
+++ b/src/libheatherlever/fair_queue.cc
@@ -0,0 +1,68 @@
+#include "fair_queue.h"
+
+#include <algorithm>
+
+namespace heatherlever {
+
+void FairQueue::Push(const std::string& caller, JobId job) {
+  const auto [found, added] = callers_.try_emplace(caller);
+  if (added) {
+    TakeTurn(*found);
+  }
+  found->second.jobs.insert(job);
+  ++size_;
+}
+
+bool FairQueue::Remove(const std::string& caller, JobId job) {
+  const auto found = callers_.find(caller);
+  if (found == callers_.end() || found->second.jobs.count(job) == 0) {
+    return false;
+  }
+  Drop(*found, job);
+  return true;
+}
+
+std::optional<JobId> FairQueue::Pop(bool newest_first) {
+  if (turns_.empty()) {
+    return std::nullopt;
+  }
+  const auto first = turns_.begin();
+  Callers::value_type& caller = *first->second;
+  current_turn_ = first->first.first;
+  const std::set<JobId>& jobs = caller.second.jobs;
+  const JobId job = newest_first ? *jobs.rbegin() : *jobs.begin();
+  turns_.erase(first);
+  TakeTurn(caller);
+  Drop(caller, job);
+  return job;
+}
+
+std::optional<JobId> FairQueue::Newest() const {
+  std::optional<JobId> newest;
+  for (const auto& [name, caller] : callers_) {
+    newest = std::max(newest.value_or(0), *caller.jobs.rbegin());
+  }
+  return newest;
+}
+
+std::size_t FairQueue::Backlog(const std::string& caller) const {
+  const auto found = callers_.find(caller);
+  return found == callers_.end() ? 0 : found->second.jobs.size();
+}
+
+void FairQueue::TakeTurn(Callers::value_type& caller) {
+  caller.second.turn = current_turn_ + 1;
+  caller.second.place = ++next_place_;
+  turns_[{caller.second.turn, caller.second.place}] = &caller;
+}
+
+void FairQueue::Drop(Callers::value_type& caller, JobId job) {
+  caller.second.jobs.erase(job);
+  --size_;
+  if (caller.second.jobs.empty()) {
+    turns_.erase({caller.second.turn, caller.second.place});
+    callers_.erase(std::string(caller.first));
+  }
+}
+
+}  // namespace heatherlever
--- /dev/null
+++ b/src/libheatherlever/fair_queue.h
@@ -0,0 +1,60 @@
+#ifndef HEATHERLEVER_FAIR_QUEUE_H_
+#define HEATHERLEVER_FAIR_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace heatherlever {
+
+/// Identifies a job of a pool; later jobs have higher numbers.
+using JobId = std::uint64_t;
+
+/// Waiting jobs, served round robin by caller.
+class FairQueue {
+ public:
+  /// A job that waited elsewhere gets its place by its number.
+  void Push(const std::string& caller, JobId job);
+
+  /// Returns false if the job does not wait here.
+  bool Remove(const std::string& caller, JobId job);
+
+  /// Takes the next caller's oldest job, or its newest one.
+  std::optional<JobId> Pop(bool newest_first);
+
+  /// The job that arrived last; nothing if empty.
+  std::optional<JobId> Newest() const;
+
+  std::size_t size() const { return size_; }
+  std::size_t caller_count() const { return callers_.size(); }
+  /// Jobs of one caller.
+  std::size_t Backlog(const std::string& caller) const;
+
+ private:
+  struct Caller {
+    std::set<JobId> jobs;
+    std::uint64_t turn = 0;
+    std::uint64_t place = 0;
+  };
+  using Callers = std::unordered_map<std::string, Caller>;
+  // Callers by turn, then in the order in which they asked for it.
+  using Turns =
+      std::map<std::pair<std::uint64_t, std::uint64_t>, Callers::value_type*>;
+
+  void TakeTurn(Callers::value_type& caller);
+  void Drop(Callers::value_type& caller, JobId job);
+
+  Callers callers_;
+  Turns turns_;
+  std::uint64_t current_turn_ = 0;
+  std::uint64_t next_place_ = 0;
+  std::size_t size_ = 0;
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_FAIR_QUEUE_H_
--- /dev/null
+++ b/src/libheatherlever/floor_account.h
@@ -0,0 +1,30 @@
+#ifndef HEATHERLEVER_FLOOR_ACCOUNT_H_
+#define HEATHERLEVER_FLOOR_ACCOUNT_H_
+
+#include "heatherlever/instant.h"
+
+namespace heatherlever {
+
+/// Accounts the slot time that a kind of work has got against its floor. While
+/// the account has credit, the kind is served before more urgent work.
+class FloorAccount {
+ public:
+  /// Credits the floor, in slots, for the time since the last call. Credit
+  /// and debt are each bounded, so that neither idle nor busy times before a
+  /// flood weigh on it.
+  void Accrue(double floor_slots, Duration service_time, Instant now);
+
+  /// Charges slot time; negative to pay back.
+  void Charge(Duration slot_time);
+
+  bool has_credit() const { return balance_us_ > 0; }
+
+ private:
+  double balance_us_ = 0;
+  double bound_us_ = 0;
+  Instant updated_{0};
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_FLOOR_ACCOUNT_H_
--- /dev/null
+++ b/src/libheatherlever/pool_admission.cc
@@ -0,0 +1,100 @@
+// Arrivals at a PoolEngine: coalescing, admission, queueing.
+
+#include <algorithm>
+#include <utility>
+
+#include "pool_engine.h"
+#include "wait_estimate.h"
+
+namespace heatherlever {
+namespace {
+
+// Time after which callers try again at a pool without any usable server.
+constexpr Duration kNoServerRetryAfter = std::chrono::seconds(1);
+
+}  // namespace
+
+bool PoolEngine::Join(const PoolRequest& request,
+                      const KindQueue& kind,
+                      Instant now) {
+  if (!request.idempotent || request.deadline <= now) {
+    return false;
+  }
+  const std::optional<JobId> shared =
+      coalescing_.Find(&kind, request.caller, request.coalescing_digest);
+  if (!shared) {
+    return false;
+  }
+  AddMember(jobs_.at(*shared), request);
+  return true;
+}
+
+std::optional<PoolEngine::Refusal> PoolEngine::CheckAdmission(
+    const PoolRequest& request,
+    const KindQueue& kind,
+    Instant now) const {
+  const int usable = ledger_.usable_slots();
+  if (usable == 0) {
+    return Refusal{FinishReason::kNoServer, kNoServerRetryAfter};
+  }
+  const Duration wait =
+      EstimateWait(queue_, kind, request.caller, usable, ledger_.free_slots());
+  const double service_times =
+      wait > Duration(0) ? options_.admission_service_times : 1;
+  const Duration service(static_cast<std::int64_t>(
+      service_times * static_cast<double>(kind.service_time().count())));
+  const Instant end = now + wait + service;
+  if (end > request.deadline) {
+    return Refusal{FinishReason::kTooLate, end - request.deadline};
+  }
+  return std::nullopt;
+}
+
+// A full queue displaces the newest job of the least urgent kind below `rank`.
+bool PoolEngine::MakeRoomFor(Rank rank) {
+  if (queue_.size() < options_.max_queue) {
+    return true;
+  }
+  const KindQueue* least = nullptr;
+  for (const auto& kind : queue_.kinds()) {
+    if (kind->rank > rank && kind->ready.size() != 0 &&
+        (least == nullptr || kind->rank > least->rank)) {
+      least = kind.get();
+    }
+  }
+  if (least == nullptr) {
+    return false;
+  }
+  PoolJob& displaced = jobs_.at(*least->ready.Newest());
+  FinishJob(displaced, RequestOutcome::kNotRun, FinishReason::kQueueFull);
+  return true;
+}
+
+void PoolEngine::Enqueue(const PoolRequest& request, KindQueue& kind) {
+  PoolJob& job = jobs_[next_job_];
+  job.id = next_job_++;
+  job.kind = &kind;
+  job.caller = request.caller;
+  job.idempotent = request.idempotent;
+  job.ready = request.ready;
+  if (request.idempotent) {
+    job.coalescing_digest = request.coalescing_digest;
+    coalescing_.Add(&kind, job.caller, job.coalescing_digest, job.id);
+  }
+  AddMember(job, request);
+  budget_.Deposit();
+  if (job.ready) {
+    kind.ready.Push(job.caller, job.id);
+  } else {
+    ++kind.unready;
+  }
+}
+
+void PoolEngine::AddMember(PoolJob& job, const PoolRequest& request) {
+  job.members.push_back({request.id, request.deadline});
+  job.deadline = std::max(job.deadline, request.deadline);
+  requests_[request.id] = job.id;
+  timers_.Add({request.deadline, PoolTimer::Purpose::kDeadline, request.id});
+}
+
+}  // namespace heatherlever
--- /dev/null
+++ b/src/libheatherlever/pool_attempt.h
@@ -0,0 +1,30 @@
+#ifndef HEATHERLEVER_POOL_ATTEMPT_H_
+#define HEATHERLEVER_POOL_ATTEMPT_H_
+
+#include "backend_ledger.h"
+#include "fair_queue.h"
+#include "heatherlever/instant.h"
+
+namespace heatherlever {
+
+class KindQueue;
+
+/// One dispatch of a job. It holds a slot until its end is confirmed or its
+/// quarantine is over.
+struct PoolAttempt {
+  JobId job = 0;
+  KindQueue* kind = nullptr;
+  BackendIndex backend = 0;
+  Instant started{0};
+  /// The job no longer waits for it: it ended without a confirmation, or its
+  /// answer no longer counts.
+  bool detached = false;
+  /// Its result was counted into the server's health.
+  bool reported = false;
+  /// The server was asked to cancel it.
+  bool cancel_asked = false;
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_POOL_ATTEMPT_H_
--- /dev/null
+++ b/src/libheatherlever/pool_dispatch.cc
@@ -0,0 +1,144 @@
+// Attempts of a PoolEngine: dispatch, hedges, results, slots.
+
+#include <utility>
+
+#include "pool_engine.h"
+
+namespace heatherlever {
+namespace {
+
+Duration Times(double factor, Duration span) {
+  return Duration(
+      static_cast<std::int64_t>(factor * static_cast<double>(span.count())));
+}
+
+}  // namespace
+
+void PoolEngine::Dispatch(Instant now) {
+  while (ledger_.free_slots() > 0 && DispatchOne(now)) {
+  }
+}
+
+bool PoolEngine::DispatchOne(Instant now) {
+  queue_.Accrue(ledger_.usable_slots(), now);
+  for (KindQueue* kind : queue_.ServingOrder(now)) {
+    if (DispatchRetry(*kind, now) || DispatchReady(*kind, now)) {
+      queue_.CountTurn(*kind);
+      return true;
+    }
+  }
+  return false;
+}
+
+// A retry may have to wait for a server that it has not tried; later ones go
+// before it then.
+bool PoolEngine::DispatchRetry(KindQueue& kind, Instant now) {
+  for (std::size_t i = 0; i < kind.retries.size();) {
+    PoolJob& job = jobs_.at(kind.retries[i]);
+    const auto place = kind.retries.begin() + static_cast<std::ptrdiff_t>(i);
+    if (IsHopeless(job, now)) {
+      FinishJob(job, OutcomeNow(job), FinishReason::kDeadline);
+      continue;
+    }
+    if (const std::optional<BackendIndex> backend = ledger_.Pick(job.tried)) {
+      kind.retries.erase(place);
+      StartAttempt(job, *backend, now);
+      return true;
+    }
+    ++i;
+  }
+  return false;
+}
+
+bool PoolEngine::DispatchReady(KindQueue& kind, Instant now) {
+  const bool overloaded = options_.queue_order == QueueOrder::kAdaptiveLifo &&
+                          kind.OverloadedFor(options_.overload_after, now);
+  while (const std::optional<JobId> next =
+             kind.ready.Pop(overloaded && kind.idempotent)) {
+    PoolJob& job = jobs_.at(*next);
+    job.queued = false;
+    if (IsHopeless(job, now)) {
+      FinishJob(job, OutcomeNow(job), FinishReason::kDeadline);
+      continue;
+    }
+    StartAttempt(job, *ledger_.Pick({}), now);
+    return true;
+  }
+  return false;
+}
+
+// Whether not even an attempt of usual length would end in time.
+bool PoolEngine::IsHopeless(const PoolJob& job, Instant now) const {
+  return now + job.kind->service_time() > job.deadline;
+}
+
+void PoolEngine::StartAttempt(PoolJob& job, BackendIndex backend, Instant now) {
+  const AttemptId id = next_attempt_++;
+  attempts_[id] = PoolAttempt{job.id, job.kind, backend, now};
+  job.queued = false;
+  job.attempts.push_back(id);
+  job.tried.push_back(backend);
+  job.kind->OnDispatch(now);
+  ledger_.Take(backend);
+  timers_.Add(
+      {now + Times(options_.overdue_service_times, job.kind->service_time()),
+       PoolTimer::Purpose::kOverdue, id});
+  timers_.Add({job.deadline + options_.slot_quarantine,
+               PoolTimer::Purpose::kQuarantine, id});
+  actions_.emplace_back(DispatchAction{job.members.front().id, id,
+                                       ledger_.at(backend).name, job.deadline});
+}
+
+void PoolEngine::Hedge(PoolJob& job, AttemptId overdue, Instant now) {
+  const bool allowed =
+      job.idempotent && !job.cancelled && job.attempts.size() == 1 &&
+      job.tried.size() < static_cast<std::size_t>(options_.max_attempts) &&
+      !IsHopeless(job, now);
+  if (!allowed) {
+    return;
+  }
+  const std::optional<BackendIndex> backend = ledger_.Pick(job.tried);
+  if (backend && budget_.Withdraw()) {
+    StartAttempt(job, *backend, now);
+    return;
+  }
+  timers_.Add(
+      {now + job.kind->service_time(), PoolTimer::Purpose::kOverdue, overdue});
+}
+
+// Silence after a cancellation says nothing about the server if the
+// connection was closed for it.
+void PoolEngine::CountResult(PoolAttempt& attempt,
+                             AttemptResult result,
+                             Instant now) {
+  if (std::exchange(attempt.reported, true)) {
+    return;
+  }
+  if (attempt.cancel_asked && result == AttemptResult::kFailed) {
+    return;
+  }
+  const Duration latency = now - attempt.started;
+  ledger_.OnResult(attempt.backend, result, latency, now);
+  if (result == AttemptResult::kOk) {
+    attempt.kind->OnAnswer(latency);
+  }
+}
+
+void PoolEngine::ReleaseSlot(AttemptId id, Instant now) {
+  const auto found = attempts_.find(id);
+  const PoolAttempt& attempt = found->second;
+  ledger_.Release(attempt.backend);
+  attempt.kind->OnRelease(now - attempt.started, now);
+  attempts_.erase(found);
+}
+
+void PoolEngine::AskToCancel(AttemptId id) {
+  PoolAttempt& attempt = attempts_.at(id);
+  if (std::exchange(attempt.cancel_asked, true)) {
+    return;
+  }
+  actions_.emplace_back(
+      CancelAttemptAction{id, ledger_.at(attempt.backend).name});
+}
+
+}  // namespace heatherlever
