--- /dev/null
+++ b/src/include/heatherlever/job_attempt.h
@@ -0,0 +1,21 @@
+#ifndef HEATHERLEVER_JOB_ATTEMPT_H_
+#define HEATHERLEVER_JOB_ATTEMPT_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace heatherlever {
+
+/// Identity of one attempt to run a job; unique in a pool. A later attempt of
+/// the same key compares greater.
+struct JobAttempt {
+  std::uint64_t term = 0;
+  std::uint64_t view = 0;
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const JobAttempt&) const = default;
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_JOB_ATTEMPT_H_
