Run non-idempotent jobs at most once between entry hosts

Cause: a job may not repeat and 'not run' has to be true, with the store down and hosts dying. A pool's home dispatches once a quorum of its term's members (home, buddy, witness) has recorded the intent; another member deposes a silent home by binding a quorum; a new term closes the one before. Ruled out: 'not run' from a home that is cut off, as a deposed home cannot know that its buddy did not run the key: it says 'unknown' instead.

--- a/src/include/heatherlever/host_id.h
+++ b/src/include/heatherlever/host_id.h
@@ -1,9 +1,9 @@
 #ifndef HEATHERLEVER_HOST_ID_H_
 #define HEATHERLEVER_HOST_ID_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace heatherlever {
 
@@ -13,7 +13,12 @@
   std::string name;
   std::uint64_t incarnation = 0;
 
-  auto operator<=>(const HostId&) const = default;
+  bool operator==(const HostId&) const = default;
+
+  friend bool operator<(const HostId& left, const HostId& right) {
+    return std::tie(left.name, left.incarnation) <
+           std::tie(right.name, right.incarnation);
+  }
 };
 
 }  // namespace heatherlever
--- a/src/include/heatherlever/job_attempt.h
+++ b/src/include/heatherlever/job_attempt.h
@@ -1,8 +1,8 @@
 #ifndef HEATHERLEVER_JOB_ATTEMPT_H_
 #define HEATHERLEVER_JOB_ATTEMPT_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace heatherlever {
 
@@ -13,7 +13,12 @@
   std::uint64_t view = 0;
   std::uint64_t sequence = 0;
 
-  auto operator<=>(const JobAttempt&) const = default;
+  bool operator==(const JobAttempt&) const = default;
+
+  friend bool operator<(const JobAttempt& left, const JobAttempt& right) {
+    return std::tie(left.term, left.view, left.sequence) <
+           std::tie(right.term, right.view, right.sequence);
+  }
 };
 
 }  // namespace heatherlever
--- a/src/include/heatherlever/job_key.h
+++ b/src/include/heatherlever/job_key.h
@@ -1,8 +1,8 @@
 #ifndef HEATHERLEVER_JOB_KEY_H_
 #define HEATHERLEVER_JOB_KEY_H_
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace heatherlever {
 
@@ -12,7 +12,11 @@
   std::string kind;
   std::string key;
 
-  auto operator<=>(const JobKey&) const = default;
+  bool operator==(const JobKey&) const = default;
+
+  friend bool operator<(const JobKey& left, const JobKey& right) {
+    return std::tie(left.kind, left.key) < std::tie(right.kind, right.key);
+  }
 };
 
 }  // namespace heatherlever
--- a/src/include/heatherlever/job_ledger.h
+++ b/src/include/heatherlever/job_ledger.h
@@ -16,6 +16,7 @@
 
 namespace heatherlever {
 
+struct JobContext;
 class JobReplica;
 
 /// Runs each non-idempotent job at most once and answers truthfully whether it
@@ -63,7 +64,7 @@
               const JobKey& key,
               const JobAttempt& attempt,
               JobOutcome outcome,
-              std::string answer,
+              const std::string& answer,
               Instant now);
 
   /// Hands every pool that this host leads to its next member. Jobs that were
@@ -92,21 +93,35 @@
   std::string Dump(Instant now) const;
 
  private:
-  JobReplica* CurrentReplica(const std::string& pool);
+  JobReplica* NewestReplica(const std::string& pool);
   void Take(const JobRequest& request, bool depose, Instant now);
   void InstallPool(const PoolAssignment& pool, Instant now);
+  void Deliver(const HostId& from, const JobMessage& message, Instant now);
   void OnClose(const HostId& from, const JobMessage& message, Instant now);
+  void OnReport(const HostId& from, const JobMessage& message, Instant now);
+  void DeliverToSelf(Instant now);
+  void NoteIncarnation(const HostId& host);
+  void TellLaterTerms(const PoolAssignment& own,
+                      const JobRecordCopy& result,
+                      JobContext& context);
+  void ForgetClosedReplicas();
   bool IsSelf(const HostId& host) const;
+  std::optional<std::size_t> MemberIndex(const PoolTerm& term) const;
+  template <typename Visit>
+  void ForEachReplica(const Visit& visit);
+  JobContext Context(Instant now);
 
   JobLedgerOptions options_;
   std::uint64_t epoch_ = 0;
-  std::map<std::string, PoolAssignment> assignments_;
-  /// Replicas by pool and term.
+  /// Assignments by pool and term; the last of a pool is in force.
+  std::map<std::string, std::map<std::uint64_t, PoolAssignment>> assignments_;
+  /// Replicas by pool and term, where this host is a member.
   std::map<std::string, std::map<std::uint64_t, JobReplica>> replicas_;
   /// Highest closed term of each pool.
   std::map<std::string, std::uint64_t> closed_terms_;
   std::set<HostId> unreachable_;
   std::set<HostId> gone_;
+  std::map<std::string, std::uint64_t> incarnations_;
   std::vector<JobAction> actions_;
 };
 
--- a/src/include/heatherlever/job_message.h
+++ b/src/include/heatherlever/job_message.h
@@ -31,8 +31,12 @@
   JobAttempt attempt;
 };
 
-/// Member to a host that led an earlier view: `view` leads now.
-struct JobRefusal {};
+/// Member to a host that led an earlier view or term: `view` leads now or,
+/// where the term is closed, `successor` leads a later term.
+struct JobRefusal {
+  bool closed = false;
+  HostId successor;
+};
 
 /// The result of an attempt, copied to the other members.
 struct JobResult {
@@ -52,7 +56,9 @@
   bool closing = false;
   /// Whether the member holds the records of the terms before.
   bool seeded = false;
-  /// The term before the reported one, if the member knows it.
+  /// The term before the reported one, where the member knows it; number 0 if
+  /// there was none.
+  bool previous_known = false;
   PoolTerm previous;
   /// Time for which keys that no record names may have been run before.
   Duration uncertain{0};
