--- /dev/null
+++ b/src/include/heatherlever/placement.h
@@ -0,0 +1,100 @@
+#ifndef HEATHERLEVER_PLACEMENT_H_
+#define HEATHERLEVER_PLACEMENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "heatherlever/instant.h"
+#include "heatherlever/placement_decision.h"
+#include "heatherlever/placement_explanation.h"
+#include "heatherlever/placement_options.h"
+#include "heatherlever/placement_request.h"
+#include "heatherlever/pool_summary.h"
+
+namespace heatherlever {
+
+class BlockTable;
+struct DeploymentSpec;
+
+/// Chooses the region of each request at one entry host: the caller's home
+/// region where possible, otherwise the nearest region that the kind's rule,
+/// the headroom, the link budgets and the shift cap allow. What fits nowhere is
+/// refused. A region that receives a placed request serves it or refuses it; it
+/// never places it again.
+class Placement {
+ public:
+  /// `local_region` names the region of the deciding host. Returns
+  /// InvalidArgument for an unknown region or a selector that cannot be parsed.
+  static absl::StatusOr<Placement> Create(
+      const DeploymentSpec& spec,
+      std::string_view local_region,
+      std::shared_ptr<const BlockTable> blocks,
+      const PlacementOptions& options);
+
+  Placement(Placement&&) noexcept;
+  Placement& operator=(Placement&&) noexcept;
+  ~Placement();
+
+  /// Places one request and counts it. Allocates nothing. A moved request has
+  /// to be reported by OnMoveDone when it is over.
+  PlacementDecision Decide(const PlacementRequest& request, Instant now);
+
+  /// Why Decide would place the request as it would now. Counts nothing.
+  PlacementExplanation Explain(const PlacementRequest& request,
+                               Instant now) const;
+
+  /// A moved request is over; its real size is charged to the link.
+  void OnMoveDone(const PlacementRequest& request,
+                  std::size_t region,
+                  Instant now);
+
+  /// News of the pool of a service in a region. Unknown names are ignored.
+  void OnSummary(std::string_view service,
+                 std::string_view region,
+                 const PoolSummary& summary,
+                 Instant now);
+
+  /// Whether a region counts as dead: its entry hosts or its pools cannot be
+  /// reached.
+  void SetRegionDead(std::string_view region, bool dead, Instant now);
+
+  /// Share of a service's traffic that a drain moves out of a region by now,
+  /// from 0 to 1; see DrainPlan.
+  void SetDrainShare(std::string_view service,
+                     std::string_view region,
+                     double share,
+                     Instant now);
+
+  /// The region that holds the at-most-once records of a home region in the
+  /// present epoch; at first the home region itself. Non-idempotent work runs
+  /// there or nowhere.
+  void SetActingRegion(std::string_view home,
+                       std::string_view acting,
+                       Instant now);
+
+  /// Takes over the counts of the placement that this one replaces after a
+  /// change of the configuration: shift caps, requests in flight and link
+  /// budgets, matched by name.
+  void Adopt(const Placement& previous, Instant now);
+
+  /// Name of a region by its index.
+  const std::string& region_name(std::size_t region) const;
+
+  /// Index of the home region of a caller; the deciding host's region if no
+  /// block holds the address.
+  std::size_t HomeOf(std::uint32_t client_address) const;
+
+ private:
+  class State;
+  explicit Placement(std::unique_ptr<State> state);
+
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_PLACEMENT_H_
