--- a/src/include/heatherlever/placement.h
+++ b/src/include/heatherlever/placement.h
@@ -24,7 +24,8 @@
 /// region where possible, otherwise the nearest region that the kind's rule,
 /// the headroom, the link budgets and the shift cap allow. What fits nowhere is
 /// refused. A region that receives a placed request serves it or refuses it; it
-/// never places it again.
+/// never places it again. Non-idempotent work is placed once, by the host that
+/// holds its at-most-once record.
 class Placement {
  public:
   /// `local_region` names the region of the deciding host. Returns
@@ -47,9 +48,14 @@
   PlacementExplanation Explain(const PlacementRequest& request,
                                Instant now) const;
 
-  /// A moved request is over; its real size is charged to the link.
-  void OnMoveDone(const PlacementRequest& request,
-                  std::size_t region,
+  /// A moved request of a kind is over.
+  void OnMoveDone(std::size_t kind, std::size_t region, Instant now);
+
+  /// Charges bytes that a request sent to a region and received from there
+  /// beyond what its PlacementRequest expected.
+  void ChargeLink(std::size_t region,
+                  double sent_bytes,
+                  double received_bytes,
                   Instant now);
 
   /// News of the pool of a service in a region. Unknown names are ignored.
@@ -69,13 +75,6 @@
                      double share,
                      Instant now);
 
-  /// The region that holds the at-most-once records of a home region in the
-  /// present epoch; at first the home region itself. Non-idempotent work runs
-  /// there or nowhere.
-  void SetActingRegion(std::string_view home,
-                       std::string_view acting,
-                       Instant now);
-
   /// Takes over the counts of the placement that this one replaces after a
   /// change of the configuration: shift caps, requests in flight and link
   /// budgets, matched by name.
--- a/src/include/heatherlever/placement_reason.h
+++ b/src/include/heatherlever/placement_reason.h
@@ -24,11 +24,10 @@
   kNoHeadroom,
   kLinkBudget,
   kCapReached,
-  kNonIdempotent,
 };
 
 /// Number of reasons.
-inline constexpr std::size_t kPlacementReasonCount = 16;
+inline constexpr std::size_t kPlacementReasonCount = 15;
 
 /// Names of the reasons, indexed by PlacementReason.
 inline constexpr std::array<std::string_view, kPlacementReasonCount>
@@ -36,7 +35,7 @@
         "home-serves", "home-dead",      "home-draining", "home-not-selected",
         "home-full",   "returning-home", "chosen",        "farther-or-fuller",
         "dead",        "draining",       "not-selected",  "no-summary",
-        "no-headroom", "link-budget",    "cap-reached",   "non-idempotent"};
+        "no-headroom", "link-budget",    "cap-reached"};
 
 /// Name of a reason.
 constexpr std::string_view PlacementReasonName(PlacementReason reason) {
--- a/src/include/heatherlever/rate_budget.h
+++ b/src/include/heatherlever/rate_budget.h
@@ -7,26 +7,27 @@
 
 /// One host's part of an absolute cap (requests or bytes a second): a token
 /// bucket. Over any time t the host spends at most its part of the rate times
-/// (t + depth), plus what Charge took beyond the bucket; later spending waits
-/// until that debt is paid.
+/// (t + depth), plus what went beyond the bucket: an amount larger than the
+/// bucket is spent when the bucket is full, and Charge spends in any case.
+/// Later spending waits until that debt is paid.
 class RateBudget {
  public:
   /// `total_rate` units a second, divided by the configured maximum number of
   /// hosts (at least 1), with a bucket that holds what flows in during `depth`.
   RateBudget(double total_rate, int max_hosts, Duration depth);
 
-  /// Whether `amount` units are there.
+  /// Whether `amount` units are there, or the bucket is full.
   bool Has(double amount, Instant now) const;
 
-  /// Spends `amount` if it is there; otherwise spends nothing and returns
+  /// Spends `amount` if Has says so; otherwise spends nothing and returns
   /// false.
   bool TrySpend(double amount, Instant now);
 
   /// Spends `amount` in any case, such as bytes that were already sent.
   void Charge(double amount, Instant now);
 
-  /// Time until `amount` will be there if nothing else is spent. Amounts above
-  /// the bucket's size give the time until the bucket is full.
+  /// Time until Has will say so if nothing else is spent; Duration::max() if
+  /// the rate is 0.
   Duration Until(double amount, Instant now) const;
 
   /// This host's part of the rate, in units a second.
