Add placement: home first, elsewhere under cap, headroom and link budget

Cause: each request needs a region, and no shift may exceed its cap or the headroom known of its target. Ruled out: random choice of the requests that leave (counted shares are exact and repeatable); a switch between home and spill (swings; the share rises and falls in steps with a dead band).

--- a/src/include/heatherlever/cap_change.h
+++ b/src/include/heatherlever/cap_change.h
@@ -17,7 +17,7 @@
  public:
   /// `hosts` are those that may send under the old caps. A cap that is missing
   /// on one side counts as 0 there.
-  CapChange(Caps old_caps, Caps new_caps, std::set<std::string> hosts);
+  CapChange(const Caps& old_caps, Caps new_caps, std::set<std::string> hosts);
 
   /// The caps to enforce now: first the lower of old and new, then the new.
   const Caps& caps() const;
--- a/src/include/heatherlever/placement.h
+++ b/src/include/heatherlever/placement.h
@@ -49,7 +49,7 @@
                                Instant now) const;
 
   /// A moved request of a kind is over.
-  void OnMoveDone(std::size_t kind, std::size_t region, Instant now);
+  void OnMoveDone(std::size_t kind, std::size_t region);
 
   /// Charges bytes that a request sent to a region and received from there
   /// beyond what its PlacementRequest expected.
@@ -66,18 +66,19 @@
 
   /// Whether a region counts as dead: its entry hosts or its pools cannot be
   /// reached.
-  void SetRegionDead(std::string_view region, bool dead, Instant now);
+  void SetRegionDead(std::string_view region, bool dead);
 
   /// Share of a service's traffic that a drain moves out of a region by now,
   /// from 0 to 1; see DrainPlan.
   void SetDrainShare(std::string_view service,
                      std::string_view region,
-                     double share,
-                     Instant now);
+                     double share);
 
-  /// Takes over the counts of the placement that this one replaces after a
-  /// change of the configuration: shift caps, requests in flight and link
-  /// budgets, matched by name.
+  /// Takes over the state of the placement that this one replaces after a
+  /// change of the configuration, matched by name: shift caps (a changed share
+  /// starts a new window), summaries, requests in flight, dead regions, drains
+  /// and link budgets. OnMoveDone and ChargeLink want the new indexes from then
+  /// on.
   void Adopt(const Placement& previous, Instant now);
 
   /// Name of a region by its index.
--- a/src/include/heatherlever/placement_explanation.h
+++ b/src/include/heatherlever/placement_explanation.h
@@ -26,6 +26,8 @@
   PlacementDecision decision;
   std::string kind;
   std::string home;
+  /// Region that would run the request; the home region if it is refused.
+  std::string region;
   /// Name of the rule that applies; empty if none does.
   std::string rule;
   /// Whether a block holds the caller's address. If not, the deciding host's
@@ -39,10 +41,10 @@
   double cap = 0;
   std::uint64_t moved = 0;
   std::uint64_t total = 0;
-  /// The regions besides home; empty if the request stays home.
+  /// Every region besides home.
   std::vector<CandidateExplanation> candidates;
 
-  /// One line for each field, for `heatherctl explain`.
+  /// Lines to show to an operator.
   std::vector<std::string> Lines() const;
 };
 
--- a/src/include/heatherlever/placement_reason.h
+++ b/src/include/heatherlever/placement_reason.h
@@ -16,7 +16,7 @@
   kHomeFull,
   kReturningHome,
   kChosen,
-  kFartherOrFuller,
+  kNotNeeded,
   kDead,
   kDraining,
   kNotSelected,
@@ -33,7 +33,7 @@
 inline constexpr std::array<std::string_view, kPlacementReasonCount>
     kPlacementReasonNames = {
         "home-serves", "home-dead",      "home-draining", "home-not-selected",
-        "home-full",   "returning-home", "chosen",        "farther-or-fuller",
+        "home-full",   "returning-home", "chosen",        "not-needed",
         "dead",        "draining",       "not-selected",  "no-summary",
         "no-headroom", "link-budget",    "cap-reached"};
 
--- a/src/libheatherlever/cap_change.cc
+++ b/src/libheatherlever/cap_change.cc
@@ -20,7 +20,9 @@
 
 }  // namespace
 
-CapChange::CapChange(Caps old_caps, Caps new_caps, std::set<std::string> hosts)
+CapChange::CapChange(const Caps& old_caps,
+                     Caps new_caps,
+                     std::set<std::string> hosts)
     : lower_caps_(LowerOf(old_caps, new_caps)),
       new_caps_(std::move(new_caps)),
       waiting_(std::move(hosts)) {}
--- /dev/null
+++ b/src/libheatherlever/pool_headroom.cc
@@ -0,0 +1,89 @@
+#include "pool_headroom.h"
+
+#include <algorithm>
+
+#include "heatherlever/placement_options.h"
+
+namespace heatherlever {
+namespace {
+
+// Share of the headroom that is used while a pool's caches are cold.
+constexpr double kColdShare = 0.1;
+
+double Ratio(Duration part, Duration whole) {
+  return static_cast<double>(part.count()) /
+         static_cast<double>(std::max(whole, Duration(1)).count());
+}
+
+}  // namespace
+
+void PoolHeadroom::OnSummary(const PoolSummary& summary, Instant now) {
+  // Summaries may arrive by several ways and out of order.
+  const Instant measured_at = now - summary.age;
+  if (summary_ && measured_at < measured_at_) {
+    return;
+  }
+  summary_ = summary;
+  measured_at_ = measured_at;
+}
+
+bool PoolHeadroom::HasSummary(const PlacementOptions& options,
+                              Instant now) const {
+  return summary_ && now - measured_at_ < options.stale_age;
+}
+
+int PoolHeadroom::Available(const PlacementOptions& options,
+                            Instant now) const {
+  const double usable = Base(options) * AgeWeight(options, now);
+  if (usable < 1) {
+    return 0;
+  }
+  const int limit = static_cast<int>(usable * RampShare(options, now));
+  // A cold pool gets one request at a time at least, or it would stay cold.
+  return std::max(0, std::max(limit, 1) - in_flight_);
+}
+
+void PoolHeadroom::OnMoved(const PlacementOptions& options, Instant now) {
+  if (IsCold(options, now)) {
+    ramp_start_ = now;
+  }
+  last_move_ = now;
+  ++in_flight_;
+}
+
+void PoolHeadroom::OnMoveDone() {
+  in_flight_ = std::max(0, in_flight_ - 1);
+}
+
+int PoolHeadroom::Base(const PlacementOptions& options) const {
+  if (!summary_) {
+    return 0;
+  }
+  if (summary_->lent) {
+    return *summary_->lent;
+  }
+  const int spare = std::max(0, summary_->free_slots - summary_->queued);
+  return spare / std::max(1, options.headroom_senders);
+}
+
+double PoolHeadroom::AgeWeight(const PlacementOptions& options,
+                               Instant now) const {
+  const Duration excess = now - measured_at_ - options.fresh_age;
+  const Duration span = options.stale_age - options.fresh_age;
+  return std::clamp(1 - Ratio(excess, span), 0.0, 1.0);
+}
+
+double PoolHeadroom::RampShare(const PlacementOptions& options,
+                               Instant now) const {
+  if (IsCold(options, now)) {
+    return kColdShare;
+  }
+  const double progress = Ratio(now - *ramp_start_, options.move_ramp);
+  return kColdShare + (1 - kColdShare) * std::clamp(progress, 0.0, 1.0);
+}
+
+bool PoolHeadroom::IsCold(const PlacementOptions& options, Instant now) const {
+  return !ramp_start_ || now - last_move_ >= options.move_idle;
+}
+
+}  // namespace heatherlever
--- a/src/libheatherlever/rate_budget_test.cc
+++ b/src/libheatherlever/rate_budget_test.cc
@@ -11,10 +11,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr double kRate = 1000;
+constexpr int kHosts = 5;
+constexpr double kDepthS = 0.1;
+
 RC_GTEST_PROP(RateBudgetTest, HostsTogetherKeepTheRateOverEveryInterval, ()) {
-  constexpr double kRate = 1000;
-  constexpr int kHosts = 5;
-  constexpr double kDepthS = 0.1;
   std::vector<RateBudget> budgets(kHosts,
                                   RateBudget(kRate, kHosts, milliseconds(100)));
   std::vector<std::pair<Instant, double>> spent;
--- a/src/libheatherlever/rule_table.cc
+++ b/src/libheatherlever/rule_table.cc
@@ -24,8 +24,9 @@
 absl::Status WithRule(const RuleSpec& rule,
                       const std::string& field,
                       const absl::Status& status) {
-  return absl::InvalidArgumentError("rule '" + rule.name + "', " + field +
-                                    ": " + std::string(status.message()));
+  std::string message = "rule '" + rule.name + "', " + field + ": ";
+  message.append(status.message().data(), status.message().size());
+  return absl::InvalidArgumentError(message);
 }
 
 absl::StatusOr<std::vector<ParsedRule>> ParseRules(
--- /dev/null
+++ b/src/libheatherlever/spill_control.cc
@@ -0,0 +1,56 @@
+#include "spill_control.h"
+
+#include <algorithm>
+
+namespace heatherlever {
+namespace {
+
+constexpr double kSpillAbovePressure = 1.25;
+constexpr double kReturnBelowPressure = 0.9;
+constexpr double kRisePerSecond = 0.5;
+constexpr double kFallPerSecond = 0.05;
+
+// Pressure of a pool that uses no slot at all, and the largest that is counted,
+// so that one long queue does not outweigh what follows.
+constexpr double kMaxPressure = 3;
+constexpr double kSmoothingSeconds = 1;
+
+// A gap between summaries counts as this at most.
+constexpr double kMaxStepSeconds = 1;
+
+double PressureOf(const PoolSummary& summary) {
+  if (summary.allowance <= 0) {
+    return kMaxPressure;
+  }
+  const int used =
+      summary.allowance - summary.free_slots + std::max(0, summary.queued);
+  return std::clamp(static_cast<double>(used) / summary.allowance, 0.0,
+                    kMaxPressure);
+}
+
+}  // namespace
+
+void SpillControl::OnSummary(const PoolSummary& summary, Instant now) {
+  const Instant measured_at = now - summary.age;
+  if (!measured_at_) {
+    measured_at_ = measured_at;
+    pressure_ = PressureOf(summary);
+    return;
+  }
+  const double elapsed_s =
+      std::chrono::duration<double>(measured_at - *measured_at_).count();
+  if (elapsed_s <= 0) {
+    return;
+  }
+  measured_at_ = measured_at;
+  const double step_s = std::min(elapsed_s, kMaxStepSeconds);
+  const double weight = step_s / (step_s + kSmoothingSeconds);
+  pressure_ += weight * (PressureOf(summary) - pressure_);
+  if (pressure_ > kSpillAbovePressure) {
+    share_ = std::min(1.0, share_ + kRisePerSecond * step_s);
+  } else if (pressure_ < kReturnBelowPressure) {
+    share_ = std::max(0.0, share_ - kFallPerSecond * step_s);
+  }
+}
+
+}  // namespace heatherlever
--- /dev/null
+++ b/src/libheatherlever/spill_control.h
@@ -0,0 +1,33 @@
+#ifndef HEATHERLEVER_SPILL_CONTROL_H_
+#define HEATHERLEVER_SPILL_CONTROL_H_
+
+#include <optional>
+
+#include "heatherlever/instant.h"
+#include "heatherlever/pool_summary.h"
+
+namespace heatherlever {
+
+/// The share of a pool's home traffic that should go to other regions because
+/// the pool is full. It rises while the smoothed pressure (requests running and
+/// queued, over the slots in use) is above one threshold, falls more slowly
+/// below a lower one, and rests in between, so that traffic does not swing.
+class SpillControl {
+ public:
+  void OnSummary(const PoolSummary& summary, Instant now);
+
+  /// From 0 to 1.
+  double share() const { return share_; }
+
+  /// Smoothed pressure; 1 means that every slot runs a request and none waits.
+  double pressure() const { return pressure_; }
+
+ private:
+  std::optional<Instant> measured_at_;
+  double pressure_ = 0;
+  double share_ = 0;
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_SPILL_CONTROL_H_
