--- /dev/null
+++ b/src/include/heatherlever/rate_budget.h
@@ -0,0 +1,47 @@
+#ifndef HEATHERLEVER_RATE_BUDGET_H_
+#define HEATHERLEVER_RATE_BUDGET_H_
+
+#include "heatherlever/instant.h"
+
+namespace heatherlever {
+
+/// One host's part of an absolute cap (requests or bytes a second): a token
+/// bucket. Over any time t the host spends at most its part of the rate times
+/// (t + depth), plus what went beyond the bucket: an amount larger than the
+/// bucket is spent when the bucket is full, and Charge spends in any case.
+/// Later spending waits until that debt is paid.
+class RateBudget {
+ public:
+  /// `total_rate` units a second, divided by the configured maximum number of
+  /// hosts (at least 1), with a bucket that holds what flows in during `depth`.
+  RateBudget(double total_rate, int max_hosts, Duration depth);
+
+  /// Whether `amount` units are there, or the bucket is full.
+  bool Has(double amount, Instant now) const;
+
+  /// Spends `amount` if Has says so; otherwise spends nothing and returns
+  /// false.
+  bool TrySpend(double amount, Instant now);
+
+  /// Spends `amount` in any case, such as bytes that were already sent.
+  void Charge(double amount, Instant now);
+
+  /// Time until Has will say so if nothing else is spent; Duration::max() if
+  /// the rate is 0.
+  Duration Until(double amount, Instant now) const;
+
+  /// This host's part of the rate, in units a second.
+  double rate() const { return rate_; }
+
+ private:
+  double TokensAt(Instant now) const;
+
+  double rate_;
+  double size_;
+  double tokens_;
+  Instant updated_{0};
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_RATE_BUDGET_H_
