--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -9,6 +9,9 @@
 
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Werror)
 
+# g++ 12 takes moved-from nlohmann::json values for uninitialized ones.
+add_compile_options($<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
+
 # ccache needs this to reuse objects that include a precompiled header.
 add_compile_options($<$<CXX_COMPILER_ID:GNU>:-fpch-preprocess>)
 
--- a/src/heather-entry/job_runner.cc
+++ b/src/heather-entry/job_runner.cc
@@ -152,7 +152,7 @@
 }
 
 std::string JobRunner::Home(const PoolName& pool) const {
-  const auto home = ledger_.Home(pool.Text());
+  const auto home = ledger_.Leader(pool.Text());
   return home ? home->name : "";
 }
 
--- a/src/include/heatherlever/host_record.h
+++ b/src/include/heatherlever/host_record.h
@@ -9,8 +9,8 @@
 /// An entry host as the platform's list of hosts shows it. The list lags.
 struct HostRecord {
   std::string name;
-  /// Differs between two runs of the host's process.
-  std::string incarnation;
+  /// Grows with each start of the host's process.
+  std::uint64_t incarnation = 0;
   /// IP address of both ports.
   std::string address;
   std::uint16_t http_port = 0;
--- a/src/include/heatherlever/placement.h
+++ b/src/include/heatherlever/placement.h
@@ -13,7 +13,7 @@
 #include "heatherlever/placement_explanation.h"
 #include "heatherlever/placement_options.h"
 #include "heatherlever/placement_request.h"
-#include "heatherlever/pool_headroom.h"
+#include "heatherlever/headroom_report.h"
 
 namespace heatherlever {
 
@@ -59,9 +59,9 @@
                   Instant now);
 
   /// News of the pool of a service in a region. Unknown names are ignored.
-  void OnHeadroom(std::string_view service,
+  void OnSummary(std::string_view service,
                  std::string_view region,
-                 const PoolHeadroom& summary,
+                 const HeadroomReport& summary,
                  Instant now);
 
   /// Whether a region counts as dead: its entry hosts or its pools cannot be
--- a/src/libheatherlever/placement.cc
+++ b/src/libheatherlever/placement.cc
@@ -55,11 +55,11 @@
   state_->ChargeLink(region, sent_bytes, received_bytes, now);
 }
 
-void Placement::OnHeadroom(std::string_view service,
+void Placement::OnSummary(std::string_view service,
                           std::string_view region,
-                          const PoolHeadroom& summary,
+                          const HeadroomReport& summary,
                           Instant now) {
-  state_->OnHeadroom(service, region, summary, now);
+  state_->OnSummary(service, region, summary, now);
 }
 
 void Placement::SetRegionDead(std::string_view region, bool dead) {
--- a/src/libheatherlever/placement_state.cc
+++ b/src/libheatherlever/placement_state.cc
@@ -199,13 +199,13 @@
   links_.Charge(region, sent, received, now);
 }
 
-void Placement::State::OnHeadroom(std::string_view service,
+void Placement::State::OnSummary(std::string_view service,
                                  std::string_view region,
-                                 const PoolHeadroom& summary,
+                                 const HeadroomReport& summary,
                                  Instant now) {
   if (Pool* pool = FindPool(service, region)) {
-    pool->headroom.OnHeadroom(summary, now);
-    pool->spill.OnHeadroom(summary, now);
+    pool->headroom.OnSummary(summary, now);
+    pool->spill.OnSummary(summary, now);
   }
 }
 
--- a/src/libheatherlever/placement_state.h
+++ b/src/libheatherlever/placement_state.h
@@ -37,9 +37,9 @@
                   double sent,
                   double received,
                   Instant now);
-  void OnHeadroom(std::string_view service,
+  void OnSummary(std::string_view service,
                  std::string_view region,
-                 const PoolHeadroom& summary,
+                 const HeadroomReport& summary,
                  Instant now);
   void SetRegionDead(std::string_view region, bool dead);
   void SetDrainShare(std::string_view service,
--- a/src/libheatherlever/spill_control.h
+++ b/src/libheatherlever/spill_control.h
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "heatherlever/instant.h"
-#include "heatherlever/pool_headroom.h"
+#include "heatherlever/headroom_report.h"
 
 namespace heatherlever {
 
@@ -14,7 +14,7 @@
 /// below a lower one, and rests in between, so that traffic does not swing.
 class SpillControl {
  public:
-  void OnHeadroom(const PoolHeadroom& summary, Instant now);
+  void OnSummary(const HeadroomReport& summary, Instant now);
 
   /// From 0 to 1.
   double share() const { return share_; }
