Add the event loop and HTTP/2 transport between entry hosts

One loop thread carries timers, posts and nghttp2 sessions over Asio. Calls end as answered, not sent or unknown; 'not sent' needs a stream whose HEADERS never left nghttp2, or a REFUSED_STREAM, which the server sends only before its handler is posted.

Silence: a PING goes out when nothing was heard for the interval, and a call takes a new connection when the open one was not heard from in time. Dropping on a late timer alone was ruled out: after a pause of the process the peer's answers wait in the socket, so one late tick is passed over.

A TimerHandle::State that owned its Asio timer was ruled out: the handle may outlive the loop, whose context the timer refers to.

--- a/src/include/heathernet/peer_address.h
+++ b/src/include/heathernet/peer_address.h
@@ -1,9 +1,9 @@
 #ifndef HEATHERNET_PEER_ADDRESS_H_
 #define HEATHERNET_PEER_ADDRESS_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace heathernet {
 
@@ -12,7 +12,12 @@
   std::string ip;
   std::uint16_t port = 0;
 
-  auto operator<=>(const PeerAddress&) const = default;
+  bool operator==(const PeerAddress& other) const {
+    return std::tie(ip, port) == std::tie(other.ip, other.port);
+  }
+  bool operator<(const PeerAddress& other) const {
+    return std::tie(ip, port) < std::tie(other.ip, other.port);
+  }
 };
 
 }  // namespace heathernet
--- a/src/include/heathernet/peer_limits.h
+++ b/src/include/heathernet/peer_limits.h
@@ -12,11 +12,13 @@
 /// connection counts as dead.
 struct PeerLimits {
   /// Bytes of all header names and values of one message.
-  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
   /// Bytes of one message's body, sent or received.
-  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_body_bytes = std::size_t{1024} * 1024;
   /// Streams that one peer may have open on one connection.
   std::uint32_t max_streams_per_connection = 256;
+  /// Bytes of all requests that are still arriving; further ones are refused.
+  std::size_t max_buffered_request_bytes = std::size_t{8} * 1024 * 1024;
   /// Connections accepted at a time; further ones are closed at once.
   std::size_t max_incoming_connections = 256;
   /// Connections opened at a time; further calls end with kNotSent.
@@ -28,16 +30,20 @@
   heatherlever::Duration handshake_timeout{1'000'000};
   /// From a request's first byte to its last.
   heatherlever::Duration request_receive_timeout{5'000'000};
-  /// A PING is sent on an outgoing connection on which nothing was received
-  /// for this long.
+  /// A PING is sent on an outgoing connection with calls in progress on which
+  /// nothing was received for this long.
   heatherlever::Duration ping_interval{500'000};
+  /// The same for one without calls. Each PING and its answer take about 250
+  /// bytes with TCP and IP headers.
+  heatherlever::Duration idle_ping_interval{500'000};
   /// From a PING to its answer; a connection without one is dropped.
   heatherlever::Duration ping_timeout{1'000'000};
   /// A call takes a new connection if nothing was received on the open one for
   /// this long.
-  heatherlever::Duration max_silence_before_use{750'000};
-  /// An accepted connection on which no whole frame was received for this long
-  /// is closed.
+  heatherlever::Duration max_silence_before_use{900'000};
+  /// An accepted connection on which no whole frame was received, or no byte
+  /// could be written, for this long is closed. Longer than the peers'
+  /// idle_ping_interval.
   heatherlever::Duration max_incoming_silence{5'000'000};
   /// An outgoing connection without calls for this long is closed.
   heatherlever::Duration idle_timeout{60'000'000};
--- /dev/null
+++ b/src/libheathernet/boot_clock.cc
@@ -0,0 +1,15 @@
+#include "boot_clock.h"
+
+#include <ctime>
+
+namespace heathernet {
+
+BootClock::time_point BootClock::now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  const auto since_boot = std::chrono::seconds(time.tv_sec) +
+                          std::chrono::nanoseconds(time.tv_nsec);
+  return time_point(std::chrono::duration_cast<duration>(since_boot));
+}
+
+}  // namespace heathernet
