--- a/src/heather-standin/host_list.cc
+++ b/src/heather-standin/host_list.cc
@@ -17,8 +17,12 @@
     throw StandinError("a registration needs a field 'ID'");
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  registered_[id] = {service, false};
-  AddChange(id, registered_[id]);
+  const Entry entry{service.value("Name", ""), service.value("Address", ""),
+                    service.value("Port", 0),
+                    service.value("Meta", std::map<std::string, std::string>()),
+                    false};
+  registered_[id] = entry;
+  AddChange(id, entry);
 }
 
 bool HostList::SetMaintenance(const std::string& id, bool enabled) {
@@ -46,14 +50,14 @@
   ShowDueChanges();
   Json answer = Json::array();
   for (const auto& [id, entry] : shown_) {
-    if (entry.service.value("Name", "") != name) {
+    if (entry.name != name) {
       continue;
     }
     Json service = {{"ID", id},
                     {"Service", name},
-                    {"Address", entry.service.value("Address", "")},
-                    {"Port", entry.service.value("Port", 0)},
-                    {"Meta", entry.service.value("Meta", Json::object())}};
+                    {"Address", entry.address},
+                    {"Port", entry.port},
+                    {"Meta", entry.meta}};
     Json checks = {{{"CheckID", "service:" + id}, {"Status", "passing"}}};
     // Consul shows maintenance mode as a critical check with this name.
     if (entry.maintenance) {
--- a/src/heather-standin/host_list.h
+++ b/src/heather-standin/host_list.h
@@ -18,7 +18,8 @@
   void set_lag(std::chrono::milliseconds lag);
 
   /// `service` is the body of Consul's register call: ID, Name, Address, Port
-  /// and Meta. Throws StandinError if there is no ID.
+  /// and Meta. Throws StandinError if there is no ID, and
+  /// nlohmann::json::exception for a field of another type.
   void Register(const nlohmann::json& service);
 
   /// False if no service has this ID.
@@ -30,7 +31,10 @@
 
  private:
   struct Entry {
-    nlohmann::json service;
+    std::string name;
+    std::string address;
+    int port = 0;
+    std::map<std::string, std::string> meta;
     bool maintenance = false;
   };
   struct Change {
--- a/src/heather-standin/socket_stream.cc
+++ b/src/heather-standin/socket_stream.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <cstring>
 
 namespace heather_standin {
@@ -13,7 +14,7 @@
 
 constexpr int kIoTimeoutMs = 5'000;
 
-bool Poll(socket_t socket, short events, int timeout_ms) {
+bool Poll(socket_t socket, std::int16_t events, int timeout_ms) {
   pollfd entry{socket, events, 0};
   return ::poll(&entry, 1, timeout_ms) > 0;
 }
--- a/src/include/heathernet/stored_object.h
+++ b/src/include/heathernet/stored_object.h
@@ -9,6 +9,8 @@
 struct StoredObject {
   std::string body;
   std::string etag;
+
+  bool operator==(const StoredObject&) const = default;
 };
 
 }  // namespace heathernet
--- a/src/include/heathernet/table_value.h
+++ b/src/include/heathernet/table_value.h
@@ -13,6 +13,8 @@
 struct TableValue {
   std::string value;
   std::int64_t version = kAbsentVersion;
+
+  bool operator==(const TableValue&) const = default;
 };
 
 }  // namespace heathernet
