--- /dev/null
+++ b/src/include/heatherlever/headroom_lender.h
@@ -0,0 +1,49 @@
+#ifndef HEATHERLEVER_HEADROOM_LENDER_H_
+#define HEATHERLEVER_HEADROOM_LENDER_H_
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "heatherlever/instant.h"
+#include "heatherlever/sender_use.h"
+
+namespace heatherlever {
+
+/// Divides a pool's free slots among the hosts of other regions, at the pool's
+/// owner. Each host gets a limit on its requests in the pool at the same time
+/// (PoolSummary::lent). A limit that was once given counts until it expires,
+/// so the limits that hosts may be using never exceed what the pool had free;
+/// a lower limit is given at once, a higher one when others have expired.
+class HeadroomLender {
+ public:
+  /// `hold` is the time for which a host may use a limit after it was given:
+  /// the stale age of summaries.
+  explicit HeadroomLender(Duration hold);
+
+  /// The limit of each sender. `spare` is the number of slots that are free and
+  /// not kept for home traffic. Limits of hosts that are not named count until
+  /// they expire.
+  std::map<std::string, int> Divide(
+      int spare,
+      const std::map<std::string, SenderUse>& senders,
+      Instant now);
+
+ private:
+  struct Limit {
+    int requests;
+    Instant expires;
+  };
+
+  // The highest limit that a sender may be using.
+  int HeldBy(const std::string& sender) const;
+  void RemoveExpired(Instant now);
+
+  Duration hold_;
+  // By sender, in the order of their expiry.
+  std::map<std::string, std::deque<Limit>> given_;
+};
+
+}  // namespace heatherlever
+
+#endif  // HEATHERLEVER_HEADROOM_LENDER_H_
--- a/src/include/heatherlever/placement_options.h
+++ b/src/include/heatherlever/placement_options.h
@@ -22,11 +22,12 @@
   /// A summary of this age counts for nothing.
   Duration stale_age = std::chrono::seconds(3);
   /// Time over which the requests moved to a region rise to what its headroom
-  /// allows, as its caches are cold.
+  /// allows, as its caches are cold. 0 for no ramp.
   Duration move_ramp = std::chrono::seconds(20);
   /// A region that got no moved requests for this long is cold again.
   Duration move_idle = std::chrono::seconds(60);
-  /// Time over which traffic returns to a home region that serves again.
+  /// Time over which traffic returns to a home region that serves again. 0 for
+  /// no ramp.
   Duration return_ramp = std::chrono::seconds(30);
   /// Retry-After of a refusal for lack of headroom.
   Duration retry_after = std::chrono::seconds(1);
--- /dev/null
+++ b/src/libheatherlever/headroom_lender.cc
@@ -0,0 +1,94 @@
+#include "heatherlever/headroom_lender.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace heatherlever {
+namespace {
+
+// A sender that wants nothing still gets a part, as it could not show that it
+// wants any otherwise.
+int WeightOf(const SenderUse& use) {
+  return 1 + std::max(0, use.wanted);
+}
+
+// Parts of `spare` in proportion to the weights. What rounding down leaves goes
+// to the senders that lost most by it.
+std::map<std::string, int> Parts(
+    int spare,
+    const std::map<std::string, SenderUse>& senders) {
+  std::int64_t weights = 0;
+  for (const auto& [sender, use] : senders) {
+    weights += WeightOf(use);
+  }
+  std::map<std::string, int> parts;
+  std::vector<std::pair<std::int64_t, std::string>> lost;
+  int rest = spare;
+  for (const auto& [sender, use] : senders) {
+    const std::int64_t product = std::int64_t{spare} * WeightOf(use);
+    parts[sender] = static_cast<int>(product / weights);
+    lost.emplace_back(-(product % weights), sender);
+    rest -= parts[sender];
+  }
+  std::sort(lost.begin(), lost.end());
+  for (std::size_t i = 0; static_cast<int>(i) < rest; ++i) {
+    ++parts[lost[i].second];
+  }
+  return parts;
+}
+
+}  // namespace
+
+HeadroomLender::HeadroomLender(Duration hold) : hold_(hold) {}
+
+std::map<std::string, int> HeadroomLender::Divide(
+    int spare,
+    const std::map<std::string, SenderUse>& senders,
+    Instant now) {
+  RemoveExpired(now);
+  // Slots that hosts may take without a new limit.
+  int reserved = 0;
+  for (const auto& [sender, limits] : given_) {
+    const auto use = senders.find(sender);
+    const int in_flight = use == senders.end() ? 0 : use->second.in_flight;
+    reserved += std::max(0, HeldBy(sender) - in_flight);
+  }
+  int raise = std::max(0, spare - reserved);
+  std::map<std::string, int> limits;
+  for (const auto& [sender, part] : Parts(std::max(0, spare), senders)) {
+    const int in_flight = senders.at(sender).in_flight;
+    const int held = std::max(0, HeldBy(sender) - in_flight);
+    const int raised = std::clamp(part - held, 0, raise);
+    raise -= raised;
+    limits[sender] = in_flight + std::min(part, held) + raised;
+    given_[sender].push_back({limits[sender], now + hold_});
+  }
+  return limits;
+}
+
+int HeadroomLender::HeldBy(const std::string& sender) const {
+  int held = 0;
+  const auto found = given_.find(sender);
+  if (found == given_.end()) {
+    return held;
+  }
+  for (const Limit& limit : found->second) {
+    held = std::max(held, limit.requests);
+  }
+  return held;
+}
+
+void HeadroomLender::RemoveExpired(Instant now) {
+  for (auto it = given_.begin(); it != given_.end();) {
+    std::deque<Limit>& limits = it->second;
+    while (!limits.empty() && limits.front().expires <= now) {
+      limits.pop_front();
+    }
+    it = limits.empty() ? given_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace heatherlever
--- a/src/libheatherlever/leaving_share.cc
+++ b/src/libheatherlever/leaving_share.cc
@@ -10,8 +10,7 @@
 
 }  // namespace
 
-LeavingShare::LeavingShare(Duration return_ramp)
-    : return_ramp_(std::max(return_ramp, Duration(1))) {}
+LeavingShare::LeavingShare(Duration return_ramp) : return_ramp_(return_ramp) {}
 
 void LeavingShare::SetTarget(double target, Instant now) {
   value_ = ValueAt(now);
@@ -20,6 +19,9 @@
 }
 
 double LeavingShare::ValueAt(Instant now) const {
+  if (return_ramp_ <= Duration(0)) {
+    return target_;
+  }
   const Duration elapsed = std::max(now - updated_, Duration(0));
   const double fallen = static_cast<double>(elapsed.count()) /
                         static_cast<double>(return_ramp_.count());
--- a/src/libheatherlever/leaving_share.h
+++ b/src/libheatherlever/leaving_share.h
@@ -13,7 +13,8 @@
 /// the share by exact counting, not by chance.
 class LeavingShare {
  public:
-  /// `return_ramp` is the time in which the share falls from 1 to 0.
+  /// `return_ramp` is the time in which the share falls from 1 to 0; 0 for
+  /// at once.
   explicit LeavingShare(Duration return_ramp);
 
   /// Sets the target, from 0 to 1. The last target holds until then.
--- a/src/libheatherlever/pool_headroom.cc
+++ b/src/libheatherlever/pool_headroom.cc
@@ -75,6 +75,9 @@
 
 double PoolHeadroom::RampShare(const PlacementOptions& options,
                                Instant now) const {
+  if (options.move_ramp <= Duration(0)) {
+    return 1;
+  }
   if (IsCold(options, now)) {
     return kColdShare;
   }
