--- /dev/null
+++ b/src/libheatherlever/connection_health.cc
@@ -0,0 +1,53 @@
+#include "heatherlever/connection_health.h"
+
+#include "heatherlever/connection_options.h"
+
+namespace heatherlever {
+
+ConnectionHealth::ConnectionHealth(Instant opened) : last_proof_(opened) {}
+
+void ConnectionHealth::OnSent(Instant now) {
+  sent_ = now;
+  first_byte_ = false;
+}
+
+void ConnectionHealth::OnFirstByte(Instant now) {
+  first_byte_ = true;
+  last_proof_ = now;
+}
+
+void ConnectionHealth::OnAnswered(Instant now) {
+  sent_.reset();
+  first_byte_ = false;
+  last_proof_ = now;
+}
+
+void ConnectionHealth::OnBroken() {
+  broken_ = true;
+}
+
+bool ConnectionHealth::MayCarry(bool idempotent,
+                                const ConnectionOptions& options,
+                                Instant now) const {
+  if (broken_ || busy()) {
+    return false;
+  }
+  const Duration limit = idempotent ? options.max_idle : options.fresh_answer;
+  return now - last_proof_ <= limit;
+}
+
+bool ConnectionHealth::ShouldClose(const ConnectionOptions& options,
+                                   Instant now) const {
+  return broken_ || (!busy() && now - last_proof_ > options.max_idle);
+}
+
+std::optional<Instant> ConnectionHealth::SilentSince(
+    const ConnectionOptions& options,
+    Instant now) const {
+  if (!sent_ || first_byte_ || now - *sent_ <= options.first_byte_limit) {
+    return std::nullopt;
+  }
+  return sent_;
+}
+
+}  // namespace heatherlever
