--- a/src/heather-entry/pool_runner.cc
+++ b/src/heather-entry/pool_runner.cc
@@ -106,7 +106,7 @@
 }
 
 heatherlever::PoolSummary PoolRunner::Summary() const {
-  return queue_->Summary(heathernet::EventLoop::Now());
+  return queue_->Summary();
 }
 
 void PoolRunner::Pump() {
--- a/src/libheathernet/consul_codec.cc
+++ b/src/libheathernet/consul_codec.cc
@@ -28,7 +28,7 @@
   // Consul keeps every value of Meta as text.
   host.peer_port = static_cast<std::uint16_t>(
       std::stoul(meta.at("peer_port").get<std::string>()));
-  host.incarnation = meta.at("incarnation").get<std::string>();
+  host.incarnation = std::stoull(meta.at("incarnation").get<std::string>());
   host.region = meta.at("region").get<std::string>();
   host.domain = meta.at("domain").get<std::string>();
   host.leaving = InMaintenance(entry.value("Checks", Json::array()));
@@ -44,7 +44,7 @@
               {"Port", host.http_port},
               {"Meta",
                {{"peer_port", std::to_string(host.peer_port)},
-                {"incarnation", host.incarnation},
+                {"incarnation", std::to_string(host.incarnation)},
                 {"region", host.region},
                 {"domain", host.domain}}}}
       .dump();
