--- a/src/heather-load/run_check.cc
+++ b/src/heather-load/run_check.cc
@@ -24,7 +24,8 @@
   if (!answer || !stats) {
     return false;
   }
-  for (const auto& [key, count] : nlohmann::json::parse(answer->body).items()) {
+  const nlohmann::json counts = nlohmann::json::parse(answer->body);
+  for (const auto& [key, count] : counts.items()) {
     runs[key] += count.get<std::uint64_t>();
   }
   check.over_slots +=
--- a/src/libheathernet/platform_client_test.cc
+++ b/src/libheathernet/platform_client_test.cc
@@ -187,7 +187,7 @@
 
 TEST_F(PlatformClientTest, HostListShowsRegisteredAndLeavingHosts) {
   const auto client = Make(Settings("a"));
-  HostRecord host{"suva-1", "7", "127.0.0.1", 80, 81, "suva", "d1", false};
+  HostRecord host{"suva-1", 7, "127.0.0.1", 80, 81, "suva", "d1", false};
   client->Register(host);
   EXPECT_EQ(client->HostList(), std::vector<HostRecord>{host});
   client->MarkLeaving(host.name);
@@ -201,7 +201,7 @@
 TEST_F(PlatformClientTest, HostListLags) {
   const auto client = Make(Settings("a"));
   server_.SetFaults({{"list_lag_ms", 3'600'000}});
-  client->Register({"suva-1", "7", "127.0.0.1", 80, 81, "suva", "d1", false});
+  client->Register({"suva-1", 7, "127.0.0.1", 80, 81, "suva", "d1", false});
   EXPECT_TRUE(client->HostList().empty());
   server_.SetFaults({{"list_lag_ms", 0}});
   EXPECT_EQ(client->HostList().size(), 1U);
