--- a/src/heather-entry/caller_server.cc
+++ b/src/heather-entry/caller_server.cc
@@ -26,7 +26,7 @@
 using httplib::Request;
 using httplib::Response;
 
-constexpr std::size_t kMaxBodyBytes = 256 * 1024;
+constexpr std::size_t kMaxBodyBytes = 262144;
 constexpr std::size_t kMaxKeyBytes = 128;
 constexpr std::size_t kMaxExchangeBytes = 128;
 constexpr std::size_t kMaxHeaders = 64;
--- a/src/heather-entry/platform_agent.cc
+++ b/src/heather-entry/platform_agent.cc
@@ -17,7 +17,6 @@
 namespace heather_entry {
 
 using heatherlever::ConfigRecord;
-using heatherlever::EpochRecord;
 using heathernet::PartLogger;
 using heathernet::PlatformClient;
 using heathernet::PlatformError;
--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -411,14 +411,15 @@
   }
   auto message = EncodeWork(request, kDispatchPath);
   message.headers[kPoolRegion] = pool.region;
-  const HostRecord owner = owners.front();
-  peers_.Call({owner.address, owner.peer_port}, std::move(message),
+  const std::string owner = owners.front().name;
+  peers_.Call({owners.front().address, owners.front().peer_port},
+              std::move(message),
               [this, owner, done = std::move(done)](const PeerResult& result) {
                 if (const auto answer = DecodeAnswer(result)) {
                   done(*answer);
                   return;
                 }
-                directory_.ReportSilent(owner.name, EventLoop::Now());
+                directory_.ReportSilent(owner, EventLoop::Now());
                 done(result.outcome == PeerOutcome::kNotSent
                          ? NotRun("owner-unreachable")
                          : Unknown("owner-silent"));
--- a/src/heatherctl/config_commands.cc
+++ b/src/heatherctl/config_commands.cc
@@ -17,7 +17,6 @@
 
 namespace heatherctl {
 
-using heatherlever::ConfigRecord;
 using heathernet::ConfigStore;
 using heathernet::WriteStatus;
 
--- a/src/heatherctl/host_commands.cc
+++ b/src/heatherctl/host_commands.cc
@@ -17,7 +17,6 @@
 
 namespace heatherctl {
 
-using heatherlever::EpochRecord;
 using heatherlever::HostRecord;
 
 namespace {
--- a/src/include/heatherlever/placement.h
+++ b/src/include/heatherlever/placement.h
@@ -8,12 +8,12 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "heatherlever/headroom_report.h"
 #include "heatherlever/instant.h"
 #include "heatherlever/placement_decision.h"
 #include "heatherlever/placement_explanation.h"
 #include "heatherlever/placement_options.h"
 #include "heatherlever/placement_request.h"
-#include "heatherlever/headroom_report.h"
 
 namespace heatherlever {
 
--- a/src/libheatherlever/pool_headroom.h
+++ b/src/libheatherlever/pool_headroom.h
@@ -3,8 +3,8 @@
 
 #include <optional>
 
-#include "heatherlever/instant.h"
 #include "heatherlever/headroom_report.h"
+#include "heatherlever/instant.h"
 
 namespace heatherlever {
 
