--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Runs a bench of the release build: bench.sh WORD [ARGUMENT...]. Words:
+#   decisions  policies for pools, in virtual time; --json for rows only
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+word=${1:-}
+[ $# -gt 0 ] && shift
+bin=build/release/bin
+
+case "$word" in
+  decisions)
+    scripts/build.sh release >&2
+    exec "$bin/heather-bench-decisions" "$@"
+    ;;
+  *)
+    echo "bench.sh: no bench is named '$word'; see the head of this script" >&2
+    exit 2
+    ;;
+esac
