--- a/src/include/heatherlever/headroom_lender.h
+++ b/src/include/heatherlever/headroom_lender.h
@@ -12,7 +12,7 @@
 
 /// Divides a pool's free slots among the hosts of other regions, at the pool's
 /// owner. Each host gets a limit on its requests in the pool at the same time
-/// (PoolSummary::lent). A limit that was once given counts until it expires,
+/// (HeadroomReport::lent). A limit that was once given counts until it expires,
 /// so the limits that hosts may be using never exceed what the pool had free;
 /// a lower limit is given at once, a higher one when others have expired.
 class HeadroomLender {
--- a/src/include/heatherlever/pool_summary.h
+++ b/src/include/heatherlever/headroom_report.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERLEVER_POOL_SUMMARY_H_
-#define HEATHERLEVER_POOL_SUMMARY_H_
+#ifndef HEATHERLEVER_HEADROOM_REPORT_H_
+#define HEATHERLEVER_HEADROOM_REPORT_H_
 
 #include <optional>
 
@@ -8,7 +8,7 @@
 namespace heatherlever {
 
 /// What the owner of a pool tells other entry hosts about it.
-struct PoolSummary {
+struct HeadroomReport {
   /// Slots with no request.
   int free_slots = 0;
   /// Requests that wait for a slot.
@@ -25,4 +25,4 @@
 
 }  // namespace heatherlever
 
-#endif  // HEATHERLEVER_POOL_SUMMARY_H_
+#endif  // HEATHERLEVER_HEADROOM_REPORT_H_
--- a/src/include/heatherlever/placement.h
+++ b/src/include/heatherlever/placement.h
@@ -8,12 +8,12 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "heatherlever/headroom_report.h"
 #include "heatherlever/instant.h"
 #include "heatherlever/placement_decision.h"
 #include "heatherlever/placement_explanation.h"
 #include "heatherlever/placement_options.h"
 #include "heatherlever/placement_request.h"
-#include "heatherlever/pool_summary.h"
 
 namespace heatherlever {
 
@@ -61,7 +61,7 @@
   /// News of the pool of a service in a region. Unknown names are ignored.
   void OnSummary(std::string_view service,
                  std::string_view region,
-                 const PoolSummary& summary,
+                 const HeadroomReport& summary,
                  Instant now);
 
   /// Whether a region counts as dead: its entry hosts or its pools cannot be
--- a/src/libheatherlever/placement.cc
+++ b/src/libheatherlever/placement.cc
@@ -57,7 +57,7 @@
 
 void Placement::OnSummary(std::string_view service,
                           std::string_view region,
-                          const PoolSummary& summary,
+                          const HeadroomReport& summary,
                           Instant now) {
   state_->OnSummary(service, region, summary, now);
 }
--- a/src/libheatherlever/placement_state.cc
+++ b/src/libheatherlever/placement_state.cc
@@ -201,7 +201,7 @@
 
 void Placement::State::OnSummary(std::string_view service,
                                  std::string_view region,
-                                 const PoolSummary& summary,
+                                 const HeadroomReport& summary,
                                  Instant now) {
   if (Pool* pool = FindPool(service, region)) {
     pool->headroom.OnSummary(summary, now);
--- a/src/libheatherlever/placement_state.h
+++ b/src/libheatherlever/placement_state.h
@@ -39,7 +39,7 @@
                   Instant now);
   void OnSummary(std::string_view service,
                  std::string_view region,
-                 const PoolSummary& summary,
+                 const HeadroomReport& summary,
                  Instant now);
   void SetRegionDead(std::string_view region, bool dead);
   void SetDrainShare(std::string_view service,
--- a/src/libheatherlever/pool_headroom.cc
+++ b/src/libheatherlever/pool_headroom.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-void PoolHeadroom::OnSummary(const PoolSummary& summary, Instant now) {
+void PoolHeadroom::OnSummary(const HeadroomReport& summary, Instant now) {
   // Summaries may arrive by several ways and out of order.
   const Instant measured_at = now - summary.age;
   if (summary_ && measured_at < measured_at_) {
--- a/src/libheatherlever/pool_headroom.h
+++ b/src/libheatherlever/pool_headroom.h
@@ -3,8 +3,8 @@
 
 #include <optional>
 
+#include "heatherlever/headroom_report.h"
 #include "heatherlever/instant.h"
-#include "heatherlever/pool_summary.h"
 
 namespace heatherlever {
 
@@ -15,7 +15,7 @@
 /// less as the summary grows old and while the pool's caches are cold.
 class PoolHeadroom {
  public:
-  void OnSummary(const PoolSummary& summary, Instant now);
+  void OnSummary(const HeadroomReport& summary, Instant now);
 
   /// Whether there is a summary younger than the stale age.
   bool HasSummary(const PlacementOptions& options, Instant now) const;
@@ -40,7 +40,7 @@
   double RampShare(const PlacementOptions& options, Instant now) const;
   bool IsCold(const PlacementOptions& options, Instant now) const;
 
-  std::optional<PoolSummary> summary_;
+  std::optional<HeadroomReport> summary_;
   Instant measured_at_{0};
   int in_flight_ = 0;
   // When the present series of moves started, and its last move.
--- a/src/libheatherlever/spill_control.cc
+++ b/src/libheatherlever/spill_control.cc
@@ -18,7 +18,7 @@
 // A gap between summaries counts as this at most.
 constexpr double kMaxStepSeconds = 1;
 
-double PressureOf(const PoolSummary& summary) {
+double PressureOf(const HeadroomReport& summary) {
   if (summary.allowance <= 0) {
     return kMaxPressure;
   }
@@ -30,7 +30,7 @@
 
 }  // namespace
 
-void SpillControl::OnSummary(const PoolSummary& summary, Instant now) {
+void SpillControl::OnSummary(const HeadroomReport& summary, Instant now) {
   const Instant measured_at = now - summary.age;
   if (!measured_at_) {
     measured_at_ = measured_at;
--- a/src/libheatherlever/spill_control.h
+++ b/src/libheatherlever/spill_control.h
@@ -3,8 +3,8 @@
 
 #include <optional>
 
+#include "heatherlever/headroom_report.h"
 #include "heatherlever/instant.h"
-#include "heatherlever/pool_summary.h"
 
 namespace heatherlever {
 
@@ -14,7 +14,7 @@
 /// below a lower one, and rests in between, so that traffic does not swing.
 class SpillControl {
  public:
-  void OnSummary(const PoolSummary& summary, Instant now);
+  void OnSummary(const HeadroomReport& summary, Instant now);
 
   /// From 0 to 1.
   double share() const { return share_; }
--- a/src/libheatherlever/spill_control_test.cc
+++ b/src/libheatherlever/spill_control_test.cc
@@ -10,14 +10,14 @@
 
 constexpr Duration kStep = std::chrono::milliseconds(100);
 
-PoolSummary Summary(int free_slots, int queued) {
+HeadroomReport Summary(int free_slots, int queued) {
   return {free_slots, queued, 100, {}, {}};
 }
 
 TEST(SpillControlTest, RisesUnderPressureAndRestsInBetween) {
   SpillControl control;
   Instant now{0};
-  const auto run = [&](int steps, const PoolSummary& summary) {
+  const auto run = [&](int steps, const HeadroomReport& summary) {
     for (int i = 0; i < steps; ++i) {
       now += kStep;
       control.OnSummary(summary, now);
