Let the spilled share rise with the excess pressure

Cause: the placement-hysteresis script showed the share climbing to 95 % after the queue was gone, as the smoothed pressure lags and the rise was constant.

--- a/src/libheatherlever/block_table.cc
+++ b/src/libheatherlever/block_table.cc
@@ -181,10 +181,14 @@
 std::optional<std::size_t> BlockTable::IndexOf(std::uint32_t address,
                                                int length,
                                                std::size_t end) const {
-  const auto last = addresses_.begin() + static_cast<std::ptrdiff_t>(end);
-  const auto first = std::lower_bound(addresses_.begin(), last, address);
+  // Blocks of the same upper bits only.
+  const std::size_t range = address >> (kAddressBits - kIndexBits);
+  const auto begin = addresses_.begin();
+  const auto last = begin + static_cast<std::ptrdiff_t>(
+                                std::min<std::size_t>(end, index_[range + 1]));
+  const auto first = std::lower_bound(begin + index_[range], last, address);
   for (auto it = first; it != last && *it == address; ++it) {
-    const auto index = static_cast<std::size_t>(it - addresses_.begin());
+    const auto index = static_cast<std::size_t>(it - begin);
     if (lengths_[index] == length) {
       return index;
     }
@@ -222,6 +226,7 @@
     }
   }
   Resize(kept);
+  RebuildIndex();
 }
 
 // New blocks are merged in from the end, so that the arrays stay in place.
--- a/src/libheatherlever/spill_control.cc
+++ b/src/libheatherlever/spill_control.cc
@@ -7,7 +7,8 @@
 
 constexpr double kSpillAbovePressure = 1.25;
 constexpr double kReturnBelowPressure = 0.9;
-constexpr double kRisePerSecond = 0.5;
+// Rise for each unit of pressure above the threshold.
+constexpr double kRisePerSecond = 1;
 constexpr double kFallPerSecond = 0.05;
 
 // Pressure of a pool that uses no slot at all, and the largest that is counted,
@@ -47,7 +48,8 @@
   const double weight = step_s / (step_s + kSmoothingSeconds);
   pressure_ += weight * (PressureOf(summary) - pressure_);
   if (pressure_ > kSpillAbovePressure) {
-    share_ = std::min(1.0, share_ + kRisePerSecond * step_s);
+    const double excess = pressure_ - kSpillAbovePressure;
+    share_ = std::min(1.0, share_ + kRisePerSecond * excess * step_s);
   } else if (pressure_ < kReturnBelowPressure) {
     share_ = std::max(0.0, share_ - kFallPerSecond * step_s);
   }
