--- a/src/heather-bench-placement/main.cc
+++ b/src/heather-bench-placement/main.cc
@@ -120,6 +120,7 @@
   add("json", "print JSON instead of tables");
   add("seed", "seed of the traffic and the blocks",
       cxxopts::value<std::uint64_t>()->default_value("1"));
+  add("speed-only", "leave out the runs of traffic");
   add("blocks", "client blocks in the table",
       cxxopts::value<std::size_t>()->default_value("1500000"));
   add("version", "print the version");
@@ -136,14 +137,18 @@
   const auto seed = parsed["seed"].as<std::uint64_t>();
   const SpeedReport speed =
       MeasureSpeed(parsed["blocks"].as<std::size_t>(), seed);
-  const std::vector<TrafficRow> rows = RunTraffic(seed);
+  const std::vector<TrafficRow> rows = parsed.count("speed-only") != 0
+                                           ? std::vector<TrafficRow>()
+                                           : RunTraffic(seed);
   if (parsed.count("json") != 0) {
     std::cout << ToJson(speed, rows).dump(2) << "\n";
     return 0;
   }
   std::cout << std::fixed << std::setprecision(2);
   PrintSpeed(speed);
-  PrintTraffic(rows);
+  if (!rows.empty()) {
+    PrintTraffic(rows);
+  }
   return 0;
 }
 
