Check the job ledger over every order of events

Cause: the promises have to hold for any order of messages, restarts and new terms, which unit tests cannot cover.

--- a/src/heather-bench-jobs/job_world.h
+++ b/src/heather-bench-jobs/job_world.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,9 +27,15 @@
 struct JobPacket {
   HostId from;
   heatherlever::JobMessage message;
+  /// Sender and encoded message, made when first asked for.
+  mutable std::string text;
 
-  auto Order() const {
-    return std::make_pair(from, heatherlever::EncodeJobMessage(message));
+  const std::string& Text() const {
+    if (text.empty()) {
+      text = from.name + std::to_string(from.incarnation) +
+             heatherlever::EncodeJobMessage(message);
+    }
+    return text;
   }
 };
 
@@ -70,7 +77,17 @@
     HostId id;
     Instant now{0};
     bool alive = true;
+    /// Dump of the ledger, made when first asked for.
+    mutable std::string dump;
+
+    const std::string& Dump() const {
+      if (dump.empty()) {
+        dump = ledger.Dump(now);
+      }
+      return dump;
+    }
   };
+  using PacketPtr = std::shared_ptr<const JobPacket>;
 
   /// Redirects that an entry host follows before it gives up.
   static constexpr int kMaxRedirects = 3;
@@ -79,11 +96,12 @@
                heatherlever::JobLedgerOptions options) {
     options.self = {name, 1};
     options_[name] = options;
-    hosts_.emplace(name, Host{JobLedger(options), options.self});
+    hosts_[name] = std::make_shared<Host>(
+        Host{JobLedger(options), options.self, Instant(0), true, ""});
   }
 
   void Install(const std::string& name, const heatherlever::JobEpoch& epoch) {
-    Host& host = hosts_.at(name);
+    Host& host = Mutable(name);
     host.ledger.InstallEpoch(epoch, host.now);
     Collect(host);
   }
@@ -97,7 +115,7 @@
   void Submit(std::uint64_t id) {
     TrackedRequest& tracked = requests_.at(id);
     tracked.submitted = true;
-    Host& host = hosts_.at(tracked.host);
+    Host& host = Mutable(tracked.host);
     heatherlever::JobRequest request = tracked.request;
     request.deadline += host.now;
     if (tracked.depose) {
@@ -109,7 +127,7 @@
   }
 
   void Deliver(const JobPacket& packet) {
-    Host& host = hosts_.at(packet.message.to.name);
+    Host& host = Mutable(packet.message.to.name);
     if (host.alive) {
       host.ledger.OnMessage(packet.from, packet.message, host.now);
       Collect(host);
@@ -120,7 +138,7 @@
   bool Dispatch(std::size_t index) {
     const QueuedJob job = queue_[index];
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(index));
-    Host& host = hosts_.at(job.host);
+    Host& host = Mutable(job.host);
     const bool sent =
         host.ledger.Dispatch(job.pool, job.key, job.attempt, host.now);
     if (sent) {
@@ -138,7 +156,7 @@
     if (outcome != JobOutcome::kNotRun) {
       ++runs_[job.key];
     }
-    Host& host = hosts_.at(job.host);
+    Host& host = Mutable(job.host);
     if (host.alive && host.id.incarnation == job.incarnation) {
       host.ledger.Settle(job.pool, job.key, job.attempt, outcome,
                          "answer of " + job.key.key, host.now);
@@ -148,7 +166,7 @@
 
   /// Ends the host's process; its queue and requests are lost.
   void Kill(const std::string& name) {
-    Host& host = hosts_.at(name);
+    Host& host = Mutable(name);
     host.alive = false;
     std::erase_if(queue_,
                   [&](const QueuedJob& job) { return job.host == name; });
@@ -163,7 +181,7 @@
   /// Starts a new process on the host, with the next incarnation.
   void Restart(const std::string& name) {
     Kill(name);
-    Host& host = hosts_.at(name);
+    Host& host = Mutable(name);
     heatherlever::JobLedgerOptions& options = options_.at(name);
     ++options.self.incarnation;
     host.id = options.self;
@@ -172,26 +190,26 @@
   }
 
   void SetClock(const std::string& name, Instant now) {
-    Host& host = hosts_.at(name);
+    Host& host = Mutable(name);
     host.now = now;
     host.ledger.Tick(now);
     Collect(host);
   }
 
   void Leave(const std::string& name) {
-    Host& host = hosts_.at(name);
+    Host& host = Mutable(name);
     host.ledger.Leave(host.now);
     Collect(host);
   }
 
   void PeerUnreachable(const std::string& name, const HostId& peer) {
-    Host& host = hosts_.at(name);
+    Host& host = Mutable(name);
     host.ledger.OnPeerUnreachable(peer, host.now);
     Collect(host);
   }
 
   void PeerGone(const std::string& name, const HostId& peer) {
-    Host& host = hosts_.at(name);
+    Host& host = Mutable(name);
     host.ledger.OnPeerGone(peer, host.now);
     Collect(host);
   }
@@ -199,8 +217,14 @@
   /// Promises that were broken so far, in words.
   const std::vector<std::string>& violations() const { return violations_; }
 
-  std::vector<JobPacket>& network() { return network_; }
-  const std::map<std::string, Host>& hosts() const { return hosts_; }
+  std::vector<PacketPtr>& network() { return network_; }
+  const std::vector<PacketPtr>& network() const { return network_; }
+  const Host& host(const std::string& name) const { return *hosts_.at(name); }
+  const std::map<std::string, std::shared_ptr<Host>>& hosts() const {
+    return hosts_;
+  }
+  /// Attempts whose requests were told `not run`.
+  const std::set<JobAttempt>& refused() const { return refused_; }
   const std::vector<QueuedJob>& queue() const { return queue_; }
   const std::vector<QueuedJob>& running() const { return running_; }
   const std::map<std::uint64_t, TrackedRequest>& requests() const {
@@ -212,6 +236,15 @@
   }
 
  private:
+  Host& Mutable(const std::string& name) {
+    std::shared_ptr<Host>& host = hosts_.at(name);
+    if (host.use_count() > 1) {
+      host = std::make_shared<Host>(*host);
+    }
+    host->dump.clear();
+    return *host;
+  }
+
   // Runs of a key, with those that a backend server may still do.
   int PossibleRuns(const JobKey& key) const {
     int count = runs(key);
@@ -237,12 +270,14 @@
   }
 
   void On(Host& host, heatherlever::SendJobMessage& send) {
-    network_.push_back({host.id, std::move(send.message)});
+    network_.push_back(std::make_shared<const JobPacket>(
+        JobPacket{host.id, std::move(send.message), ""}));
   }
 
   void On(Host& host, heatherlever::EnqueueJob& job) {
     queue_.push_back({host.id.name, host.id.incarnation, job.pool, job.key,
                       job.attempt, job.request_id, false});
+    attempts_[job.request_id] = job.attempt;
   }
 
   void On(Host&, heatherlever::AllowJob& job) {
@@ -289,20 +324,22 @@
     if (PossibleRuns(key) > 0) {
       violations_.push_back(key.key + " is said to be not run and may be run");
     }
-    for (const QueuedJob& job : queue_) {
-      if (job.request_id == reply.request_id) {
-        refused_.insert(job.attempt);
-      }
+    const auto attempt = attempts_.find(reply.request_id);
+    if (attempt != attempts_.end()) {
+      refused_.insert(attempt->second);
     }
   }
 
   std::map<std::string, heatherlever::JobLedgerOptions> options_;
-  std::map<std::string, Host> hosts_;
-  std::vector<JobPacket> network_;
+  // Shared by copies of the world until one changes it.
+  std::map<std::string, std::shared_ptr<Host>> hosts_;
+  std::vector<PacketPtr> network_;
   std::vector<QueuedJob> queue_;
   std::vector<QueuedJob> running_;
   std::map<JobKey, int> runs_;
   std::map<std::uint64_t, TrackedRequest> requests_;
+  // Attempt that was started for a request.
+  std::map<std::uint64_t, JobAttempt> attempts_;
   std::set<JobAttempt> refused_;
   std::vector<std::string> violations_;
 };
--- a/src/libheatherlever/job_ledger_test.cc
+++ b/src/libheatherlever/job_ledger_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "heather-bench-jobs/job_world.h"
+#include "heatherlever/job_message_codec.h"
 
 namespace heatherlever {
 namespace {
@@ -57,7 +58,7 @@
 
   bool SubmitOne() {
     for (const auto& [id, tracked] : world_.requests()) {
-      if (!tracked.submitted && world_.hosts().at(tracked.host).alive) {
+      if (!tracked.submitted && world_.host(tracked.host).alive) {
         world_.Submit(id);
         return true;
       }
@@ -71,9 +72,9 @@
     }
     const auto packet = world_.network().front();
     world_.network().erase(world_.network().begin());
-    if (cut_.count(packet.from.name) == 0 &&
-        cut_.count(packet.message.to.name) == 0) {
-      world_.Deliver(packet);
+    if (cut_.count(packet->from.name) == 0 &&
+        cut_.count(packet->message.to.name) == 0) {
+      world_.Deliver(*packet);
     }
     return true;
   }
