Add background calls between entry hosts and stop idle PINGs of unused connections

Reason: at the target size a host probes one random host every two seconds. With PINGs on every idle connection for a minute, some 60 connections a host would each send two PINGs a second, which is more than the control budget of 11 KB/s. Idle PINGs now end keep_warm after the last call that is no background call, and a background call takes an open connection however long it was silent.

An accepted connection without requests may therefore be silent for max_incoming_idle; one with requests still only for max_incoming_silence. Ruled out: no idle PINGs at all, which costs each forwarded request after a pause a new connection.

--- a/src/include/heathernet/peer_limits.h
+++ b/src/include/heathernet/peer_limits.h
@@ -33,20 +33,23 @@
   /// A PING is sent on an outgoing connection with calls in progress on which
   /// nothing was received for this long.
   heatherlever::Duration ping_interval{500'000};
-  /// The same for one without calls. Each PING and its answer take about 250
-  /// bytes with TCP and IP headers.
+  /// The same for one without calls, for as long as keep_warm.
   heatherlever::Duration idle_ping_interval{500'000};
+  /// From the last call that is no background call to the last idle PING.
+  heatherlever::Duration keep_warm{10'000'000};
   /// From a PING to its answer; a connection without one is dropped.
   heatherlever::Duration ping_timeout{1'000'000};
   /// A call takes a new connection if nothing was received on the open one for
   /// this long.
   heatherlever::Duration max_silence_before_use{900'000};
-  /// An accepted connection on which no whole frame was received, or no byte
-  /// could be written, for this long is closed. Longer than the peers'
-  /// idle_ping_interval.
+  /// An accepted connection with requests in progress on which no whole frame
+  /// was received, or nothing could be written, for this long is closed. Longer
+  /// than the peers' ping_interval.
   heatherlever::Duration max_incoming_silence{5'000'000};
+  /// The same for one without requests. Longer than the peers' idle_timeout.
+  heatherlever::Duration max_incoming_idle{60'000'000};
   /// An outgoing connection without calls for this long is closed.
-  heatherlever::Duration idle_timeout{60'000'000};
+  heatherlever::Duration idle_timeout{30'000'000};
 };
 
 }  // namespace heathernet
--- a/src/include/heathernet/peer_request.h
+++ b/src/include/heathernet/peer_request.h
@@ -18,6 +18,9 @@
   /// From Call() to the whole answer. On the receiving side, what the caller
   /// stated; time spent on the way is not taken off.
   heatherlever::Duration timeout{1'000'000};
+  /// For a call whose loss is harmless: it takes an open connection however
+  /// long that was silent, and does not keep it warm.
+  bool background = false;
   /// Receiving side only: IP number that the request came from.
   std::string remote_ip;
 };
--- a/src/libheathernet/peer_client_connection.cc
+++ b/src/libheathernet/peer_client_connection.cc
@@ -117,6 +117,9 @@
       std::static_pointer_cast<PeerClientConnection>(shared_from_this());
   call->stream = id;
   last_used_ = EventLoop::Now();
+  if (!request.background) {
+    warm_until_ = last_used_ + context().limits.keep_warm;
+  }
   Flush();
 }
 
@@ -142,14 +145,16 @@
   }
 }
 
-bool PeerClientConnection::usable(Instant now) {
+bool PeerClientConnection::usable(bool background, Instant now) {
   if (closed() || retired_) {
     return false;
   }
   if (!connected_) {
     return true;
   }
-  return now - last_heard() <= context().limits.max_silence_before_use &&
+  const bool heard =
+      now - last_heard() <= context().limits.max_silence_before_use;
+  return (background || heard) &&
          nghttp2_session_check_request_allowed(session()) != 0;
 }
 
@@ -287,6 +292,9 @@
     }
     return;
   }
+  if (streams_.empty() && now > warm_until_) {
+    return;
+  }
   const Duration interval =
       streams_.empty() ? limits.idle_ping_interval : limits.ping_interval;
   if (now - last_heard() >= interval) {
--- a/src/libheathernet/peer_client_connection.h
+++ b/src/libheathernet/peer_client_connection.h
@@ -32,7 +32,7 @@
   void AbortStream(std::int32_t stream, const std::string& detail);
 
   /// True if a new call may use this connection.
-  bool usable(heatherlever::Instant now);
+  bool usable(bool background, heatherlever::Instant now);
 
   /// Closes now, or once the calls in progress have ended.
   void CloseWhenIdle();
@@ -82,6 +82,8 @@
   bool retired_ = false;
   std::optional<heatherlever::Instant> ping_sent_;
   heatherlever::Instant last_used_{};
+  // The end of the time in which idle PINGs are sent.
+  heatherlever::Instant warm_until_{};
 };
 
 }  // namespace heathernet
--- a/src/libheathernet/peer_server_connection.cc
+++ b/src/libheathernet/peer_server_connection.cc
@@ -247,7 +247,9 @@
     }
     return;
   }
-  if (now - last_heard() > limits.max_incoming_silence ||
+  const Duration max_silence =
+      streams_.empty() ? limits.max_incoming_idle : limits.max_incoming_silence;
+  if (now - last_heard() > max_silence ||
       WriteAge(now) > limits.max_incoming_silence) {
     ++context().stats.dropped_silent;
     Close();
--- a/src/libheathernet/peer_transport.cc
+++ b/src/libheathernet/peer_transport.cc
@@ -49,7 +49,7 @@
 
   void HandleAccept(const std::error_code& error, tcp::socket socket);
   /// A connection for a new call; null if none can be had.
-  ClientPtr ConnectionTo(const PeerAddress& peer);
+  ClientPtr ConnectionTo(const PeerAddress& peer, bool background);
   ClientPtr OpenConnection(const PeerAddress& peer);
   void UpdateCounts();
   std::string NextExchangeId();
@@ -151,11 +151,12 @@
 }
 
 PeerTransport::Impl::ClientPtr PeerTransport::Impl::ConnectionTo(
-    const PeerAddress& peer) {
+    const PeerAddress& peer,
+    bool background) {
   const auto found = current_.find(peer);
   if (found != current_.end()) {
     ClientPtr connection = found->second;
-    if (connection->usable(EventLoop::Now())) {
+    if (connection->usable(background, EventLoop::Now())) {
       return connection;
     }
     ++context_->stats.connections_replaced;
@@ -209,7 +210,7 @@
     call->Finish(PeerOutcome::kNotSent, "body too large");
     return {};
   }
-  const ClientPtr connection = ConnectionTo(peer);
+  const ClientPtr connection = ConnectionTo(peer, request.background);
   if (!connection) {
     call->Finish(PeerOutcome::kNotSent,
                  absl::StrCat("no connection to '", peer.ip,
