--- a/src/include/heatherlever/member_table.h
+++ b/src/include/heatherlever/member_table.h
@@ -36,7 +36,8 @@
   bool Merge(const MemberRecord& record, Instant now);
 
   /// Joins the platform's list. A listed host never heard of is suspect; a
-  /// host that is neither listed nor alive is forgotten, but for `self`.
+  /// host that is neither listed nor alive or suspect is forgotten, but for
+  /// `self`.
   void MergeList(const std::vector<ListedHost>& hosts,
                  const std::string& self,
                  Instant now);
--- a/src/include/heatherlever/membership.h
+++ b/src/include/heatherlever/membership.h
@@ -44,9 +44,9 @@
   MembershipActions OnHostList(const std::vector<ListedHost>& hosts,
                                Instant now);
 
-  /// A message from a peer arrived. One action at most is addressed to the
-  /// sender of a kProbe; it may travel as the answer to the request that
-  /// brought the probe.
+  /// A message from a peer arrived. The first action that is addressed to its
+  /// sender may travel as the answer to the request that brought the message;
+  /// its address is empty if the sender's is not yet known.
   MembershipActions OnMessage(const MembershipMessage& message, Instant now);
 
   /// Called every kTickInterval.
@@ -69,7 +69,7 @@
   const MemberRecord& self() const;
 
   /// Whether a watched host answers this host's own probes. True for others.
-  bool Reachable(const std::string& id, Instant now) const;
+  bool Reachable(const std::string& id) const;
 
   /// Hosts that this host probes as its neighbors.
   const std::set<std::string>& neighbors() const;
--- a/src/include/heatherlever/membership_options.h
+++ b/src/include/heatherlever/membership_options.h
@@ -18,9 +18,10 @@
   /// News in one message; the rest follows in the next.
   std::size_t max_news_per_message = 24;
 
-  /// Between two probes of one neighbor, and between two probes of a host
-  /// picked at random.
+  /// Between two probes of one neighbor.
   Duration probe_interval{1'000'000};
+  /// Between two probes of hosts picked at random.
+  Duration random_probe_interval{2'000'000};
   /// Between two probes of a watched host.
   Duration watched_probe_interval{500'000};
   /// From a probe to the call for helpers.
