--- a/src/heather-bench-decisions/fake_backend.cc
+++ b/src/heather-bench-decisions/fake_backend.cc
@@ -26,9 +26,11 @@
 }
 
 void FakeBackend::Send(std::uint64_t attempt, Instant deadline, Answer answer) {
-  ++outstanding_;
-  peak_over_slots_ = std::max(peak_over_slots_, outstanding_ - slots_);
   last_sent_ = events_.now();
+  open_.insert(attempt);
+  peak_over_slots_ =
+      std::max(peak_over_slots_, static_cast<int>(open_.size()) - slots_);
+  events_.At(deadline, [this, attempt] { Close(attempt); });
   events_.After(one_way_, [this, attempt, deadline, answer] {
     Arrive(attempt, deadline, answer);
   });
@@ -46,7 +48,7 @@
     return;
   }
   if (running() >= behaviour.real_slots) {
-    Reply(answer, AttemptResult::kShed);
+    Reply(attempt, answer, AttemptResult::kShed);
     return;
   }
   running_[attempt] = answer;
@@ -64,16 +66,23 @@
   }
   const Answer answer = found->second;
   running_.erase(found);
-  Reply(answer, result);
+  Reply(attempt, answer, result);
 }
 
-void FakeBackend::Reply(const Answer& answer, AttemptResult result) {
-  events_.After(one_way_, [this, answer, result] {
-    --outstanding_;
+void FakeBackend::Reply(std::uint64_t attempt,
+                        const Answer& answer,
+                        AttemptResult result) {
+  events_.After(one_way_, [this, attempt, answer, result] {
+    Close(attempt);
     answer(result);
   });
 }
 
+// Servers enforce deadlines, so a request without an answer ends by then.
+void FakeBackend::Close(std::uint64_t attempt) {
+  open_.erase(attempt);
+}
+
 Duration FakeBackend::DrawServiceTime() {
   double mean_us =
       static_cast<double>(kServiceTime.count()) * behaviour.slowness;
--- a/src/heather-bench-decisions/fake_backend.h
+++ b/src/heather-bench-decisions/fake_backend.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <random>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "heather-bench-decisions/event_queue.h"
 #include "heatherlever/attempt_result.h"
@@ -53,10 +54,9 @@
 
   /// Requests that run now.
   int running() const { return static_cast<int>(running_.size()); }
-  /// Requests sent and not answered, as the sender sees it.
-  int outstanding() const { return outstanding_; }
   int slots() const { return slots_; }
-  /// Most requests outstanding at a time beyond the slots.
+  /// Most requests beyond the slots that were sent, and neither answered nor
+  /// past their deadline, at the same time.
   int peak_over_slots() const { return peak_over_slots_; }
   /// When the last request was sent to it.
   heatherlever::Instant last_sent() const { return last_sent_; }
@@ -66,7 +66,10 @@
               heatherlever::Instant deadline,
               const Answer& answer);
   void End(std::uint64_t attempt, heatherlever::AttemptResult result);
-  void Reply(const Answer& answer, heatherlever::AttemptResult result);
+  void Reply(std::uint64_t attempt,
+             const Answer& answer,
+             heatherlever::AttemptResult result);
+  void Close(std::uint64_t attempt);
   heatherlever::Duration DrawServiceTime();
 
   EventQueue& events_;
@@ -74,7 +77,7 @@
   int slots_;
   std::mt19937_64 random_;
   std::unordered_map<std::uint64_t, Answer> running_;
-  int outstanding_ = 0;
+  std::unordered_set<std::uint64_t> open_;
   int peak_over_slots_ = 0;
   heatherlever::Instant last_sent_{0};
 };
--- a/src/heather-bench-decisions/row.h
+++ b/src/heather-bench-decisions/row.h
@@ -24,7 +24,8 @@
   std::optional<double> p99_ms;
   /// Requests answered in time, as a share of those offered.
   double goodput_share = 0;
-  /// Most requests sent to one server and not answered, beyond its slots.
+  /// Most requests beyond the slots of one server that were sent, and neither
+  /// answered nor past their deadline, at the same time.
   int peak_over_slots = 0;
   /// Shifts beyond their cap; nothing, as no shifts are simulated.
   std::optional<int> cap_violations;
