--- a/src/heather-entry/directory.cc
+++ b/src/heather-entry/directory.cc
@@ -68,6 +68,14 @@
   }
 }
 
+void Directory::SetDown(const std::string& name, bool down) {
+  if (down) {
+    down_.insert(name);
+  } else {
+    down_.erase(name);
+  }
+}
+
 void Directory::ReportHeard(const std::string& name) {
   silent_until_.erase(name);
 }
@@ -80,7 +88,8 @@
     return true;
   }
   const auto found = silent_until_.find(name);
-  return found != silent_until_.end() && now < found->second;
+  return down_.count(name) != 0 ||
+         (found != silent_until_.end() && now < found->second);
 }
 
 int Directory::SilentCount(const std::string& region, Instant now) const {
--- a/src/heather-entry/directory.h
+++ b/src/heather-entry/directory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,10 +42,13 @@
   /// A member announced that it stops: it is asked last from now on.
   void ReportLeaving(const std::string& name);
 
+  /// Whether the membership takes a member for down.
+  void SetDown(const std::string& name, bool down);
+
   /// A member was heard from.
   void ReportHeard(const std::string& name);
 
-  /// Whether a member is silent or leaving.
+  /// Whether a member is silent, down or leaving.
   bool IsSilent(const std::string& name, heatherlever::Instant now) const;
 
   /// Members that are silent, of a region; of all for an empty name.
@@ -56,6 +60,7 @@
  private:
   heatherlever::EpochRecord epoch_;
   std::map<std::string, heatherlever::Instant> silent_until_;
+  std::set<std::string> down_;
   // Incarnations of the members that announced their leave.
   std::map<std::string, std::uint64_t> leaving_;
 };
--- a/src/heather-entry/entry_host.cc
+++ b/src/heather-entry/entry_host.cc
@@ -5,6 +5,8 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <map>
+#include <optional>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -14,8 +16,12 @@
 #include "heather-entry/backend_client.h"
 #include "heather-entry/caller_server.h"
 #include "heather-entry/entry_settings.h"
+#include "heather-entry/gossip_codec.h"
+#include "heather-entry/membership_runner.h"
 #include "heather-entry/platform_agent.h"
 #include "heather-entry/router.h"
+#include "heatherlever/epoch_codec.h"
+#include "heatherlever/gossip_entry.h"
 #include "heatherlever/ipv4.h"
 #include "heathernet/event_loop.h"
 #include "heathernet/log.h"
@@ -26,6 +32,7 @@
 
 using heatherlever::ConfigRecord;
 using heatherlever::EpochRecord;
+using heatherlever::GossipEntry;
 using heatherlever::HostRecord;
 using heatherlever::Instant;
 using heathernet::EventLoop;
@@ -38,6 +45,18 @@
 constexpr heatherlever::Duration kLeaveNotice = std::chrono::seconds(1);
 constexpr heatherlever::Duration kIdleCheck = std::chrono::milliseconds(50);
 constexpr std::chrono::seconds kDumpTimeout(1);
+constexpr heatherlever::Duration kRefreshInterval =
+    std::chrono::milliseconds(250);
+constexpr std::int64_t kMicrosPerMilli = 1000;
+
+// The configuration in force, that of the epoch, and those just before.
+constexpr std::size_t kConfigsKept = 4;
+
+constexpr char kMembershipPath[] = "/peer/membership";
+
+// Keys of the values that hosts spread among themselves.
+constexpr char kConfigKey[] = "config";
+constexpr char kEpochKey[] = "epoch";
 
 // Differs at each start of the process and grows: milliseconds since 1970.
 std::uint64_t NewIncarnation() {
@@ -77,18 +96,29 @@
         admin_(std::make_unique<AdminServer>(settings.address,
                                              settings.admin_port,
                                              MakeSources())),
-        agent_(ValueOrThrow(PlatformAgent::Create(settings, Self()))) {
+        agent_(ValueOrThrow(PlatformAgent::Create(settings, Self()))),
+        membership_(loop_, *peers_, Self(), MakeMembershipEvents()) {
     peers_->SetHandler([this](const heathernet::PeerRequest& request,
                               const heathernet::PeerResponder& responder) {
-      router_.OnPeerRequest(request, responder);
+      if (request.path == kMembershipPath) {
+        membership_.OnPeerRequest(request, responder);
+      } else {
+        router_.OnPeerRequest(request, responder);
+      }
     });
+    membership_.Start();
+    Refresh();
   }
 
   void Run() {
-    agent_->Start([this](const ConfigRecord& record) { PostConfig(record); },
-                  [this](const EpochRecord& epoch, const ConfigRecord& record) {
-                    PostEpoch(epoch, record);
-                  });
+    agent_->Start(
+        [this](const ConfigRecord& record) { PostConfig(record); },
+        [this](const EpochRecord& epoch, const ConfigRecord& record) {
+          PostEpoch(epoch, record);
+        },
+        [this](const std::vector<HostRecord>& hosts) {
+          loop_.Post([this, hosts] { membership_.OnHostList(hosts); });
+        });
     loop_.Run();
     callers_.reset();
     agent_->Stop();
@@ -147,7 +177,47 @@
     return result.get();
   }
 
+  MembershipRunner::Events MakeMembershipEvents() {
+    MembershipRunner::Events events;
+    events.member_changed = [this](const heatherlever::MemberRecord& record,
+                                   heatherlever::MemberState state) {
+      PartLogger("membership")
+          ->info("{} is {}", record.id, MemberStateName(state));
+      router_.OnMember(record, state);
+    };
+    events.entry_changed = [this](const GossipEntry& entry) {
+      OnGossip(entry);
+    };
+    events.own_pause = [this](heatherlever::Duration length) {
+      PartLogger("membership")
+          ->warn("this process stood still for {} ms",
+                 length.count() / kMicrosPerMilli);
+      router_.OnOwnPause();
+    };
+    events.superseded = [this] {
+      PartLogger("membership")->error("a later start of this host runs");
+      BeginShutdown();
+    };
+    return events;
+  }
+
+  // A configuration or an epoch that the store or a peer has. Both spread on to
+  // the peers, so that they reach every host while the store is down.
   void PostConfig(const ConfigRecord& record) {
+    loop_.Post([this, record] { TakeConfig(record); });
+  }
+
+  void PostEpoch(const EpochRecord& epoch, const ConfigRecord& record) {
+    loop_.Post([this, epoch, record] {
+      TakeConfig(record);
+      TakeEpoch(epoch);
+    });
+  }
+
+  void TakeConfig(const ConfigRecord& record) {
+    if (configs_.count(record.version) != 0) {
+      return;
+    }
     auto config = MakeActiveConfig(record);
     if (!config.ok()) {
       PartLogger("config")->error("version {} is not usable: {}",
@@ -155,19 +225,57 @@
                                   std::string(config.status().message()));
       return;
     }
-    loop_.Post(
-        [this, active = *std::move(config)] { router_.InstallConfig(active); });
+    configs_[record.version] = *config;
+    while (configs_.size() > kConfigsKept) {
+      configs_.erase(configs_.begin());
+    }
+    router_.InstallConfig(*config);
+    membership_.Publish({kConfigKey, static_cast<std::uint64_t>(record.version),
+                         EncodeConfig(record), true});
+    if (waiting_epoch_) {
+      TakeEpoch(EpochRecord(*waiting_epoch_));
+    }
   }
 
-  void PostEpoch(const EpochRecord& epoch, const ConfigRecord& record) {
-    auto config = MakeActiveConfig(record);
-    if (!config.ok()) {
+  // An epoch waits until the configuration that it names is known.
+  void TakeEpoch(const EpochRecord& epoch) {
+    const auto config = configs_.find(epoch.config_version);
+    if (config == configs_.end()) {
+      waiting_epoch_ = epoch;
       return;
     }
-    loop_.Post([this, epoch, active = *std::move(config)] {
-      router_.InstallConfig(active);
-      router_.InstallEpoch(epoch, active);
-    });
+    waiting_epoch_.reset();
+    router_.InstallEpoch(epoch, config->second);
+    membership_.SetWatched(router_.JobPartners());
+    membership_.Publish(
+        {kEpochKey, epoch.number, heatherlever::EncodeEpoch(epoch), true});
+  }
+
+  void OnGossip(const GossipEntry& entry) {
+    if (entry.key == kConfigKey) {
+      if (const auto record = DecodeConfig(entry.payload)) {
+        TakeConfig(*record);
+      }
+    } else if (entry.key == kEpochKey) {
+      const auto epoch = heatherlever::DecodeEpoch(entry.payload);
+      if (epoch.ok()) {
+        TakeEpoch(*epoch);
+      }
+    } else if (const auto pool = PoolOfKey(entry.key)) {
+      if (const auto report = DecodeHeadroom(entry.payload)) {
+        router_.OnHeadroom(*pool, *report);
+      }
+    }
+  }
+
+  void Refresh() {
+    router_.Refresh();
+    for (const auto& [pool, report] : router_.OwnHeadroom()) {
+      router_.OnHeadroom(pool, report);
+      membership_.Publish(
+          {PoolKey(pool), NewIncarnation(), EncodeHeadroom(report), false});
+    }
+    loop_.After(kRefreshInterval, [this] { Refresh(); });
   }
 
   void BeginShutdown() {
@@ -178,6 +286,7 @@
     PartLogger("entry")->info("leaving");
     stop_by_ = EventLoop::Now() + settings_.shutdown_limit;
     agent_->Leave();
+    membership_.AnnounceLeaving();
     router_.Leave();
     loop_.After(kLeaveNotice, [this] {
       callers_->StopAccepting();
@@ -204,6 +313,9 @@
   std::unique_ptr<CallerServer> callers_;
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PlatformAgent> agent_;
+  MembershipRunner membership_;
+  std::map<std::int64_t, std::shared_ptr<const ActiveConfig>> configs_;
+  std::optional<EpochRecord> waiting_epoch_;
   bool leaving_ = false;
   Instant stop_by_{0};
 };
--- a/src/heather-entry/job_runner.cc
+++ b/src/heather-entry/job_runner.cc
@@ -26,6 +26,8 @@
 
 constexpr char kFromName[] = "x-from-name";
 constexpr char kFromIncarnation[] = "x-from-incarnation";
+// Refusals remembered between a job's end and the reply to its caller.
+constexpr std::size_t kMaxRefusals = 4096;
 constexpr heatherlever::Duration kMessageTimeout =
     std::chrono::milliseconds(500);
 
@@ -172,7 +174,6 @@
     }
   }
   pumping_ = false;
-  refusals_.clear();
   SetTimer();
 }
 
@@ -298,6 +299,7 @@
       action.reason == heatherlever::JobReason::kSettled &&
       refusal != refusals_.end()) {
     answer = refusal->second;
+    refusals_.erase(refusal);
   }
   Unpack(action.answer, answer);
   pending->done(answer);
@@ -317,7 +319,7 @@
                        const WorkAnswer& answer) {
   queued_.erase({job.pool, job.attempt});
   if (answer.outcome == RequestOutcome::kNotRun) {
-    refusals_[job.key] = answer;
+    RememberRefusal(job.key, answer);
   }
   ledger_.Settle(job.pool, job.key, job.attempt, ToJobOutcome(answer.outcome),
                  answer.outcome == RequestOutcome::kDone ? Pack(answer) : "",
@@ -325,6 +327,15 @@
   Pump();
 }
 
+void JobRunner::RememberRefusal(const heatherlever::JobKey& key,
+                                const WorkAnswer& answer) {
+  // Entries of requests that were answered otherwise stay behind.
+  if (refusals_.size() >= kMaxRefusals) {
+    refusals_.clear();
+  }
+  refusals_[key] = answer;
+}
+
 std::optional<JobRunner::Pending> JobRunner::Take(std::uint64_t request_id) {
   const auto found = requests_.find(request_id);
   if (found == requests_.end()) {
--- a/src/heather-entry/job_runner.h
+++ b/src/heather-entry/job_runner.h
@@ -112,6 +112,8 @@
                const Pending& pending,
                const JobPlace& place);
   void SendRemote(const heatherlever::AllowJob& action, QueuedJob& job);
+  void RememberRefusal(const heatherlever::JobKey& key,
+                       const WorkAnswer& answer);
   void Settle(const heatherlever::EnqueueJob& job, const WorkAnswer& answer);
   // Takes the request out of the table; nothing if it was answered before.
   std::optional<Pending> Take(std::uint64_t request_id);
--- a/src/heather-entry/platform_agent.cc
+++ b/src/heather-entry/platform_agent.cc
@@ -56,9 +56,12 @@
   Stop();
 }
 
-void PlatformAgent::Start(OnConfig on_config, OnEpoch on_epoch) {
+void PlatformAgent::Start(OnConfig on_config,
+                          OnEpoch on_epoch,
+                          OnHosts on_hosts) {
   on_config_ = std::move(on_config);
   on_epoch_ = std::move(on_epoch);
+  on_hosts_ = std::move(on_hosts);
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -102,6 +105,7 @@
     KeepRegistered();
     ReadConfig();
     ReadEpoch();
+    on_hosts_(client_->HostList());
     if (!reachable_) {
       PartLogger("platform")->info("reachable again");
     }
--- a/src/heather-entry/platform_agent.h
+++ b/src/heather-entry/platform_agent.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "heatherlever/config_record.h"
 #include "heatherlever/epoch_record.h"
@@ -34,6 +35,9 @@
   using OnEpoch = std::function<void(const heatherlever::EpochRecord&,
                                      const heatherlever::ConfigRecord&)>;
 
+  using OnHosts =
+      std::function<void(const std::vector<heatherlever::HostRecord>&)>;
+
   /// `self` is registered as it is. InvalidArgument for unusable settings.
   static absl::StatusOr<std::unique_ptr<PlatformAgent>> Create(
       const EntrySettings& settings,
@@ -41,8 +45,9 @@
 
   ~PlatformAgent();
 
-  /// Starts the thread. The functions run on it, for each newer version.
-  void Start(OnConfig on_config, OnEpoch on_epoch);
+  /// Starts the thread. The functions run on it: for each newer version, and
+  /// for each reading of the list of hosts.
+  void Start(OnConfig on_config, OnEpoch on_epoch, OnHosts on_hosts);
 
   /// Marks this host as leaving in the platform's list, soon.
   void Leave();
@@ -64,6 +69,7 @@
   std::unique_ptr<heathernet::PlatformClient> client_;
   OnConfig on_config_;
   OnEpoch on_epoch_;
+  OnHosts on_hosts_;
   std::mutex mutex_;
   std::condition_variable changed_;
   bool stopping_ = false;
--- a/src/heather-entry/pool_runner.cc
+++ b/src/heather-entry/pool_runner.cc
@@ -70,6 +70,11 @@
   Pump();
 }
 
+void PoolRunner::Readopt() {
+  queue_->AdoptPool({}, kAdoptHold, heathernet::EventLoop::Now());
+  Pump();
+}
+
 RequestId PoolRunner::Submit(const WorkRequest& request,
                              const heatherlever::KindSpec& kind,
                              bool ready,
--- a/src/heather-entry/pool_runner.h
+++ b/src/heather-entry/pool_runner.h
@@ -48,6 +48,9 @@
   void SetBackends(const std::vector<heatherlever::BackendSpec>& backends,
                    const std::set<std::string>& draining);
 
+  /// Starts with a reduced allowance, as another host may have run the pool.
+  void Readopt();
+
   /// Queues a request and returns its id. `done` runs once, maybe before this
   /// returns. A request that is not ready waits for MarkReady.
   heatherlever::RequestId Submit(const WorkRequest& request,
--- a/src/heather-entry/pool_set.cc
+++ b/src/heather-entry/pool_set.cc
@@ -21,6 +21,12 @@
   }
 }
 
+void PoolSet::Readopt() {
+  for (const auto& [name, pool] : pools_) {
+    pool->Readopt();
+  }
+}
+
 PoolRunner& PoolSet::At(const PoolName& name) {
   std::shared_ptr<PoolRunner>& pool = pools_[name];
   if (!pool) {
--- a/src/heather-entry/pool_set.h
+++ b/src/heather-entry/pool_set.h
@@ -28,6 +28,10 @@
   void Configure(const ActiveConfig& config,
                  const std::set<std::string>& draining);
 
+  /// Starts every pool with a reduced allowance, as another host may have run
+  /// it meanwhile.
+  void Readopt();
+
   /// The pool of a name.
   PoolRunner& At(const PoolName& name);
 
--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -9,10 +9,6 @@
 #include "heather-entry/entry_settings.h"
 #include "heather-entry/work_codec.h"
 #include "heatherlever/epoch_record.h"
-#include "heatherlever/placement_decision.h"
-#include "heatherlever/placement_explanation.h"
-#include "heatherlever/placement_options.h"
-#include "heatherlever/placement_request.h"
 #include "heathernet/event_loop.h"
 #include "heathernet/log.h"
 #include "heathernet/peer_transport.h"
@@ -25,7 +21,6 @@
 using heatherlever::HostRecord;
 using heatherlever::Instant;
 using heatherlever::KindSpec;
-using heatherlever::PlacementOutcome;
 using heathernet::EventLoop;
 using heathernet::PeerOutcome;
 using heathernet::PeerResult;
@@ -35,11 +30,9 @@
 constexpr char kWorkPath[] = "/peer/work";
 constexpr char kDispatchPath[] = "/peer/dispatch";
 constexpr char kJobPath[] = "/peer/job";
-constexpr char kLeavingPath[] = "/peer/leaving";
 constexpr char kJobMessagePath[] = "/peer/job-message";
 constexpr char kPoolRegion[] = "x-pool-region";
 constexpr char kDepose[] = "x-depose";
-constexpr char kFrom[] = "x-from-name";
 
 // Owners of a pool that are asked, one after the other.
 constexpr std::size_t kMaxOwnersAsked = 3;
@@ -50,23 +43,6 @@
 constexpr int kStatusBadRequest = 400;
 constexpr std::chrono::seconds kLookUpTimeout(1);
 
-std::uint32_t Bytes(std::size_t size) {
-  return static_cast<std::uint32_t>(size);
-}
-
-heatherlever::PlacementRequest ToPlacement(const WorkRequest& request,
-                                           std::size_t kind) {
-  heatherlever::PlacementRequest placement;
-  placement.kind = kind;
-  placement.client_address = request.client_address;
-  placement.request_bytes = Bytes(request.body.size());
-  return placement;
-}
-
-std::set<std::string> NoServers() {
-  return {};
-}
-
 }  // namespace
 
 Router::Router(EventLoop& loop,
@@ -82,7 +58,8 @@
              backends,
              settings.name + "." + std::to_string(incarnation),
              incarnation),
-      jobs_(loop, peers, directory_, pools_, {settings.name, incarnation}) {
+      jobs_(loop, peers, directory_, pools_, {settings.name, incarnation}),
+      steering_(settings.region, directory_, pools_) {
   jobs_.SetPlacer(
       [this](const WorkRequest& request) { return PlaceJob(request); });
   jobs_.SetRemoteDispatch(
@@ -104,19 +81,9 @@
   if (config_ && config->version <= config_->version) {
     return;
   }
-  auto placement = heatherlever::Placement::Create(
-      config->spec, region_, config->blocks, heatherlever::PlacementOptions());
-  if (!placement.ok()) {
-    heathernet::PartLogger("config")->error(
-        "version {} is not usable here: {}", config->version,
-        std::string(placement.status().message()));
+  if (!steering_.InstallConfig(config)) {
     return;
   }
-  if (placement_) {
-    placement->Adopt(*placement_, EventLoop::Now());
-  }
-  placement_ = *std::move(placement);
-  pools_.Configure(*config, NoServers());
   heathernet::PartLogger("config")->info("version {} is in force",
                                          config->version);
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -129,6 +96,7 @@
     return;
   }
   directory_.InstallEpoch(epoch);
+  steering_.Refresh();
   jobs_.InstallEpoch();
   heathernet::PartLogger("epoch")->info("epoch {} is in force, {} members",
                                         epoch.number, epoch.members.size());
@@ -193,48 +161,31 @@
     return;
   }
   if (active->spec.kinds[*kind].idempotent) {
-    RouteIdempotent(request, *kind, std::move(done));
+    RouteIdempotent(request, std::move(done));
   } else {
-    RouteJob(request, *kind, std::move(done));
+    RouteJob(request, std::move(done));
   }
 }
 
-void Router::RouteIdempotent(const WorkRequest& request,
-                             std::size_t kind,
-                             Done done) {
-  const auto decision =
-      placement_->Decide(ToPlacement(request, kind), EventLoop::Now());
-  if (decision.outcome == PlacementOutcome::kRefused) {
-    done(NotRun(std::string(PlacementReasonName(decision.reason)),
-                decision.retry_after));
+void Router::RouteIdempotent(const WorkRequest& request, Done done) {
+  const PlacedWork placed = steering_.Place(request);
+  if (placed.refused) {
+    done(placed.refusal);
     return;
   }
   auto trip = std::make_shared<PoolTrip>();
   trip->request = request;
-  trip->pool = {config()->spec.kinds[kind].service,
-                placement_->region_name(decision.region)};
+  trip->pool = placed.pool;
   trip->deadline = EventLoop::Now() + request.remaining;
   trip->owners = directory_.Owners(trip->pool, EventLoop::Now());
-  trip->done = [this, kind, decision,
+  trip->done = [on_done = placed.on_done,
                 done = std::move(done)](const WorkAnswer& answer) {
-    OnPlacedDone(kind, decision, answer);
+    on_done(answer);
     done(answer);
   };
   TryNextOwner(trip);
 }
 
-void Router::OnPlacedDone(std::size_t kind,
-                          const heatherlever::PlacementDecision& decision,
-                          const WorkAnswer& answer) {
-  if (decision.outcome != PlacementOutcome::kMoved) {
-    return;
-  }
-  placement_->OnMoveDone(kind, decision.region);
-  placement_->ChargeLink(decision.region, 0,
-                         static_cast<double>(answer.body.size()),
-                         EventLoop::Now());
-}
-
 void Router::TryNextOwner(const std::shared_ptr<PoolTrip>& trip) {
   const Duration remaining = trip->deadline - EventLoop::Now();
   const bool exhausted = trip->next >= trip->owners.size() ||
@@ -292,9 +243,7 @@
                          active->spec.regions.front().name)};
 }
 
-void Router::RouteJob(const WorkRequest& request,
-                      std::size_t /*kind*/,
-                      Done done) {
+void Router::RouteJob(const WorkRequest& request, Done done) {
   const std::string home = jobs_.Home(JobPool(request));
   if (home.empty()) {
     done(Unknown("no-home"));
@@ -374,26 +323,13 @@
 }
 
 JobPlace Router::PlaceJob(const WorkRequest& request) {
+  const PlacedWork placed = steering_.Place(request);
   JobPlace place;
-  const auto kind = config()->KindIndex(request.kind);
-  if (!kind) {
-    place.refusal = NotRun("kind-removed");
-    return place;
-  }
-  const auto decision =
-      placement_->Decide(ToPlacement(request, *kind), EventLoop::Now());
-  if (decision.outcome == PlacementOutcome::kRefused) {
-    place.refusal = NotRun(std::string(PlacementReasonName(decision.reason)),
-                           decision.retry_after);
-    return place;
-  }
-  place.admitted = true;
-  place.pool = {config()->spec.kinds[*kind].service,
-                placement_->region_name(decision.region)};
-  place.local = place.pool.region == region_;
-  place.on_done = [this, kind = *kind, decision](const WorkAnswer& answer) {
-    OnPlacedDone(kind, decision, answer);
-  };
+  place.admitted = !placed.refused;
+  place.refusal = placed.refusal;
+  place.pool = placed.pool;
+  place.local = placed.pool.region == region_;
+  place.on_done = placed.on_done;
   return place;
 }
 
@@ -435,14 +371,6 @@
     responder.Respond({});
     return;
   }
-  if (request.path == kLeavingPath) {
-    const auto from = request.headers.find(kFrom);
-    if (from != request.headers.end()) {
-      directory_.ReportLeaving(from->second);
-    }
-    responder.Respond({});
-    return;
-  }
   const auto work = DecodeWork(request);
   if (!work || !Ready()) {
     responder.Respond({kStatusBadRequest, {}, "not a request for work"});
@@ -466,6 +394,83 @@
   }
 }
 
+// News of other hosts ---------------------------------------------------------
+
+void Router::OnMember(const heatherlever::MemberRecord& member,
+                      heatherlever::MemberState state) {
+  // A host that the platform lists and nobody has heard of yet is suspect from
+  // the start: no sign that it is down.
+  const bool heard_of = member.version.incarnation != 0;
+  const bool down = state == heatherlever::MemberState::kSuspect ||
+                    state == heatherlever::MemberState::kDead;
+  directory_.SetDown(member.id, heard_of && down);
+  if (state == heatherlever::MemberState::kLeaving) {
+    directory_.ReportLeaving(member.id);
+  }
+  steering_.Refresh();
+}
+
+void Router::OnHeadroom(const PoolName& pool,
+                        const heatherlever::HeadroomReport& report) {
+  steering_.OnHeadroom(pool, report);
+}
+
+void Router::OnOwnPause() {
+  pools_.Readopt();
+}
+
+std::map<PoolName, heatherlever::HeadroomReport> Router::OwnHeadroom() const {
+  std::map<PoolName, heatherlever::HeadroomReport> reports;
+  for (const auto& [name, pool] : pools_.pools()) {
+    const auto owners = directory_.Owners(name, EventLoop::Now());
+    if (owners.empty() || owners.front().name != self_) {
+      continue;
+    }
+    const heatherlever::PoolSummary summary = pool->Summary();
+    heatherlever::HeadroomReport report;
+    report.free_slots = summary.free_slots;
+    report.allowance = summary.usable_slots;
+    for (const std::size_t queued : summary.queued) {
+      report.queued += static_cast<int>(queued);
+    }
+    reports[name] = report;
+  }
+  return reports;
+}
+
+void Router::MakeOwnPools() {
+  const auto active = config();
+  if (!active) {
+    return;
+  }
+  for (const KindSpec& kind : active->spec.kinds) {
+    const PoolName pool = {kind.service, region_};
+    const auto owners = directory_.Owners(pool, EventLoop::Now());
+    if (!owners.empty() && owners.front().name == self_) {
+      pools_.At(pool);
+    }
+  }
+}
+
+std::set<std::string> Router::JobPartners() const {
+  std::set<std::string> partners;
+  for (const heatherlever::PoolAssignment& pool : directory_.epoch().pools) {
+    std::set<std::string> members;
+    for (const heatherlever::HostId& member : pool.term.members) {
+      members.insert(member.name);
+    }
+    if (members.erase(self_) != 0) {
+      partners.merge(members);
+    }
+  }
+  return partners;
+}
+
+void Router::Refresh() {
+  steering_.Refresh();
+  MakeOwnPools();
+}
+
 // Look-ups --------------------------------------------------------------------
 
 std::string Router::LookUp(const std::string& kind,
@@ -512,16 +517,6 @@
   leaving_ = true;
   directory_.ReportLeaving(self_);
   jobs_.Leave();
-  for (const HostRecord& host : directory_.epoch().members) {
-    if (host.name == self_) {
-      continue;
-    }
-    heathernet::PeerRequest message;
-    message.path = kLeavingPath;
-    message.headers = {{kFrom, self_}};
-    peers_.Call({host.address, host.peer_port}, std::move(message),
-                [](const PeerResult&) {});
-  }
 }
 
 bool Router::idle() const {
@@ -558,15 +553,7 @@
 
 std::vector<std::string> Router::Explain(const std::string& kind,
                                          std::uint32_t client_address) const {
-  const auto active = config();
-  const auto index = active ? active->KindIndex(kind) : std::nullopt;
-  if (!index || !placement_) {
-    return {"no kind of work is named '" + kind + "'"};
-  }
-  heatherlever::PlacementRequest request;
-  request.kind = *index;
-  request.client_address = client_address;
-  return placement_->Explain(request, EventLoop::Now()).Lines();
+  return steering_.Explain(kind, client_address);
 }
 
 }  // namespace heather_entry
--- a/src/heather-entry/router.h
+++ b/src/heather-entry/router.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,12 +15,14 @@
 #include "heather-entry/directory.h"
 #include "heather-entry/job_runner.h"
 #include "heather-entry/pool_set.h"
-#include "heatherlever/placement.h"
+#include "heather-entry/steering.h"
+#include "heatherlever/headroom_report.h"
+#include "heatherlever/member_record.h"
+#include "heatherlever/member_state.h"
 #include "heathernet/peer_responder.h"
 
 namespace heatherlever {
 struct EpochRecord;
-struct PlacementDecision;
 }  // namespace heatherlever
 
 namespace heather_entry {
@@ -51,6 +54,27 @@
   void OnPeerRequest(const heathernet::PeerRequest& request,
                      const heathernet::PeerResponder& responder);
 
+  /// The membership's view of another host has changed.
+  void OnMember(const heatherlever::MemberRecord& member,
+                heatherlever::MemberState state);
+
+  /// News of a pool from its owner.
+  void OnHeadroom(const PoolName& pool,
+                  const heatherlever::HeadroomReport& report);
+
+  /// This process did not run for a while: others may have taken its pools.
+  void OnOwnPause();
+
+  /// The headroom of the pools that this host owns.
+  std::map<PoolName, heatherlever::HeadroomReport> OwnHeadroom() const;
+
+  /// Homes and buddies of the pools whose buddy or home this host is.
+  std::set<std::string> JobPartners() const;
+
+  /// Brings drains, dead regions and owned pools up to date. To be called some
+  /// times a second.
+  void Refresh();
+
   /// Refuses new callers and hands the jobs' pools over.
   void Leave();
 
@@ -88,8 +112,8 @@
 
   std::shared_ptr<const ActiveConfig> config() const;
   void Route(const WorkRequest& request, Done done);
-  void RouteIdempotent(const WorkRequest& request, std::size_t kind, Done done);
-  void RouteJob(const WorkRequest& request, std::size_t kind, Done done);
+  void RouteIdempotent(const WorkRequest& request, Done done);
+  void RouteJob(const WorkRequest& request, Done done);
   void TryNextOwner(const std::shared_ptr<PoolTrip>& trip);
   void RunInPool(const WorkRequest& request, const PoolName& pool, Done done);
   void RunJob(const WorkRequest& request, bool depose, Done done);
@@ -105,11 +129,10 @@
   void DispatchRemote(const WorkRequest& request,
                       const PoolName& pool,
                       Done done);
+  // Makes the pools that this host owns, so that their headroom is known.
+  void MakeOwnPools();
   PoolName JobPool(const WorkRequest& request) const;
   std::string BuddyOf(const PoolName& pool, const std::string& home) const;
-  void OnPlacedDone(std::size_t kind,
-                    const heatherlever::PlacementDecision& decision,
-                    const WorkAnswer& answer);
   std::string LookUpOnLoop(const std::string& kind,
                            std::uint32_t client_address) const;
 
@@ -120,7 +143,7 @@
   Directory directory_;
   PoolSet pools_;
   JobRunner jobs_;
-  std::optional<heatherlever::Placement> placement_;
+  Steering steering_;
   mutable std::mutex mutex_;
   std::shared_ptr<const ActiveConfig> config_;
   std::shared_ptr<const ActiveConfig> epoch_config_;
--- a/src/heather-planner/planner.cc
+++ b/src/heather-planner/planner.cc
@@ -93,7 +93,6 @@
   input.spec = spec;
   input.config_version = config_version_;
   input.hosts = client_->HostList();
-  input.draining_regions = DrainingRegions();
   const auto next = planner_.Plan(current, input, heathernet::EventLoop::Now());
   if (next) {
     Write(row ? row->version : heathernet::kAbsentVersion, *next);
@@ -112,10 +111,6 @@
   return config_version_ == 0 ? nullptr : &spec_;
 }
 
-std::set<std::string> Planner::DrainingRegions() const {
-  return {};
-}
-
 void Planner::Write(std::int64_t row_version, const EpochRecord& record) {
   const auto result = client_->CompareAndSwap(
       kEpochKey, row_version, heatherlever::EncodeEpoch(record));
--- a/src/heather-planner/planner.h
+++ b/src/heather-planner/planner.h
@@ -37,7 +37,6 @@
   void Step();
   // The newest configuration; nothing before the first.
   const heatherlever::DeploymentSpec* NewestSpec();
-  std::set<std::string> DrainingRegions() const;
   void Write(std::int64_t row_version, const heatherlever::EpochRecord& record);
 
   const heatherlever::Duration interval_;
--- a/src/include/heatherlever/epoch_planner.h
+++ b/src/include/heatherlever/epoch_planner.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -20,8 +19,6 @@
   std::int64_t config_version = 0;
   /// The platform's list, leaving hosts among them.
   std::vector<HostRecord> hosts;
-  /// Regions that a drain empties.
-  std::set<std::string> draining_regions;
 };
 
 /// Decides when the membership epoch has to be replaced, and by what. It holds
--- a/src/include/heatherlever/epoch_record.h
+++ b/src/include/heatherlever/epoch_record.h
@@ -20,8 +20,8 @@
   /// Configuration whose client blocks give the home regions of jobs.
   std::int64_t config_version = 0;
   std::vector<HostRecord> members;
-  /// The region that acts for each home region: itself, or another one while
-  /// it has no entry hosts or is drained.
+  /// The region whose entry hosts keep the jobs of each home region: itself,
+  /// or another one while it has none.
   std::map<std::string, std::string> acting_regions;
   /// Home and buddy of the jobs of each pool.
   std::vector<PoolAssignment> pools;
--- a/src/libheatherlever/epoch_planner.cc
+++ b/src/libheatherlever/epoch_planner.cc
@@ -1,6 +1,7 @@
 #include "heatherlever/epoch_planner.h"
 
 #include <algorithm>
+#include <set>
 
 #include "heatherlever/deployment_spec.h"
 #include "heatherlever/member.h"
@@ -37,27 +38,23 @@
   return Duration::max();
 }
 
-// A region that has entry hosts and is not drained.
-bool CanAct(const EpochInput& input,
-            const std::vector<HostRecord>& members,
-            const std::string& region) {
-  return input.draining_regions.count(region) == 0 &&
-         !MembersOf(members, region).empty();
+bool HasHosts(const std::vector<HostRecord>& members,
+              const std::string& region) {
+  return !MembersOf(members, region).empty();
 }
 
-// The region itself if it can act, otherwise the nearest one that can; the
-// region itself again if none can.
+// The region itself if it has entry hosts, otherwise the nearest one that has.
 std::string ActingRegion(const EpochInput& input,
                          const std::vector<HostRecord>& members,
                          const std::string& home) {
-  if (CanAct(input, members, home)) {
+  if (HasHosts(members, home)) {
     return home;
   }
   std::string nearest = home;
   Duration least = Duration::max();
   for (const RegionSpec& region : input.spec->regions) {
     const Duration delay = Delay(*input.spec, home, region.name);
-    if (region.name != home && CanAct(input, members, region.name) &&
+    if (region.name != home && HasHosts(members, region.name) &&
         delay < least) {
       least = delay;
       nearest = region.name;
