Interpret state charts from YAML files

Cause: state machines belong in files that the code interprets, checked when loaded. Ruled out: loading from a path only, as a host would need the files beside its binary.

--- a/src/libheatherlever/job_replica_jobs.cc
+++ b/src/libheatherlever/job_replica_jobs.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "job_chart.h"
 #include "job_replica.h"
 
 namespace heatherlever {
@@ -88,7 +89,7 @@
     GiveUp(entry, JobOutcome::kNotRun, *entry.refusal, context);
     return;
   }
-  entry.record.state = JobState::kAllowed;
+  ApplyJobEvent(entry.record.state, JobEvent::kAcknowledged);
   context.actions.emplace_back(
       AllowJob{assignment_.pool, entry.record.key, entry.record.attempt});
 }
@@ -128,16 +129,15 @@
                           const JobAttempt& attempt,
                           JobContext& context) {
   JobEntry* entry = table_.Find(key);
-  if (entry == nullptr || entry->record.attempt != attempt ||
-      entry->record.state != JobState::kAllowed) {
+  if (entry == nullptr || entry->record.attempt != attempt) {
     return false;
   }
-  if (entry->record.deadline <= context.now) {
+  if (entry->record.state == JobState::kAllowed &&
+      entry->record.deadline <= context.now) {
     GiveUp(*entry, JobOutcome::kNotRun, JobReason::kDeadline, context);
     return false;
   }
-  entry->record.state = JobState::kDispatched;
-  return true;
+  return ApplyJobEvent(entry->record.state, JobEvent::kDispatched);
 }
 
 std::optional<JobRecordCopy> JobReplica::Settle(const JobKey& key,
@@ -159,12 +159,15 @@
       return std::nullopt;
     }
     JobRecordCopy copy = CopyRecord(record, context.now);
-    copy.record.state = JobState::kNotRun;
+    ApplyJobEvent(copy.record.state, JobEvent::kNotRun);
     GiveUp(*entry, JobOutcome::kNotRun, JobReason::kSettled, context);
     return copy;
   }
-  record.state =
-      outcome == JobOutcome::kDone ? JobState::kDone : JobState::kUnknown;
+  const bool done = outcome == JobOutcome::kDone;
+  if (!ApplyJobEvent(record.state,
+                     done ? JobEvent::kDone : JobEvent::kUnknown)) {
+    return std::nullopt;
+  }
   record.answer = answer;
   AnswerSettled(*entry, context);
   if (record.answer.size() > context.options.max_answer_bytes) {
@@ -190,7 +193,7 @@
     context.Reply(request, outcome, reason);
   }
   JobRecordCopy copy = CopyRecord(record, context.now);
-  copy.record.state = JobState::kNotRun;
+  ApplyJobEvent(copy.record.state, JobEvent::kNotRun);
   SendToOthers(JobResult{copy}, 0, context);
   table_.Erase(copy.record.key);
 }
