--- a/src/heather-entry/pool_runner.cc
+++ b/src/heather-entry/pool_runner.cc
@@ -110,6 +110,18 @@
   Pump();
 }
 
+void PoolRunner::CancelExchange(const std::string& exchange_id) {
+  std::vector<RequestId> ids;
+  for (const auto& [id, pending] : requests_) {
+    if (pending.request.exchange_id == exchange_id) {
+      ids.push_back(id);
+    }
+  }
+  for (const RequestId id : ids) {
+    Cancel(id);
+  }
+}
+
 heatherlever::PoolSummary PoolRunner::Summary() const {
   return queue_->Summary();
 }
--- a/src/heather-entry/pool_runner.h
+++ b/src/heather-entry/pool_runner.h
@@ -64,6 +64,9 @@
   /// Withdraws a request; `done` still runs.
   void Cancel(heatherlever::RequestId id);
 
+  /// Withdraws the requests of an exchange; `done` of each still runs.
+  void CancelExchange(const std::string& exchange_id);
+
   heatherlever::PoolSummary Summary() const;
 
   const PoolName& name() const { return name_; }
--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -31,6 +31,7 @@
 constexpr char kDispatchPath[] = "/peer/dispatch";
 constexpr char kJobPath[] = "/peer/job";
 constexpr char kJobMessagePath[] = "/peer/job-message";
+constexpr char kCancelPath[] = "/peer/cancel";
 constexpr char kPoolRegion[] = "x-pool-region";
 constexpr char kDepose[] = "x-depose";
 
@@ -150,7 +151,41 @@
 }
 
 void Router::Cancel(const std::string& exchange_id) {
-  heathernet::PartLogger("router")->debug("cancel {}", exchange_id);
+  loop_.Post([this, exchange_id] { CancelOnLoop(exchange_id); });
+}
+
+// Withdraws what runs here, and asks every host that the exchange was forwarded
+// to. The request itself is answered by whoever has it.
+void Router::CancelOnLoop(const std::string& exchange_id) {
+  for (const auto& [name, pool] : pools_.pools()) {
+    pool->CancelExchange(exchange_id);
+  }
+  const auto range = forwarded_.equal_range(exchange_id);
+  for (auto forwarded = range.first; forwarded != range.second; ++forwarded) {
+    const auto host = directory_.Find(forwarded->second);
+    if (!host) {
+      continue;
+    }
+    heathernet::PeerRequest message;
+    message.path = kCancelPath;
+    message.body = exchange_id;
+    peers_.Call({host->address, host->peer_port}, std::move(message),
+                [](const PeerResult&) {});
+  }
+}
+
+// Calls a peer about a request and remembers which, for its cancellation.
+void Router::Forward(const HostRecord& host,
+                     heathernet::PeerRequest message,
+                     const std::string& exchange_id,
+                     heathernet::PeerTransport::Callback callback) {
+  const auto entry = forwarded_.emplace(exchange_id, host.name);
+  peers_.Call(
+      {host.address, host.peer_port}, std::move(message),
+      [this, entry, callback = std::move(callback)](const PeerResult& result) {
+        forwarded_.erase(entry);
+        callback(result);
+      });
 }
 
 void Router::Route(const WorkRequest& request, Done done) {
@@ -204,18 +239,17 @@
   }
   auto message = EncodeWork(trip->request, kWorkPath);
   message.headers[kPoolRegion] = trip->pool.region;
-  peers_.Call({owner.address, owner.peer_port}, std::move(message),
-              [this, trip, owner](const PeerResult& result) {
-                if (const auto answer = DecodeAnswer(result)) {
-                  directory_.ReportHeard(owner.name);
-                  trip->done(*answer);
-                  return;
-                }
-                directory_.ReportSilent(owner.name, EventLoop::Now());
-                trip->certainly_not_sent &=
-                    result.outcome == PeerOutcome::kNotSent;
-                TryNextOwner(trip);
-              });
+  Forward(owner, std::move(message), trip->request.exchange_id,
+          [this, trip, owner](const PeerResult& result) {
+            if (const auto answer = DecodeAnswer(result)) {
+              directory_.ReportHeard(owner.name);
+              trip->done(*answer);
+              return;
+            }
+            directory_.ReportSilent(owner.name, EventLoop::Now());
+            trip->certainly_not_sent &= result.outcome == PeerOutcome::kNotSent;
+            TryNextOwner(trip);
+          });
 }
 
 void Router::RunInPool(const WorkRequest& request,
@@ -289,28 +323,28 @@
   if (depose) {
     message.headers[kDepose] = "1";
   }
-  peers_.Call({to->address, to->peer_port}, std::move(message),
-              [this, sent, host, depose, deadline,
-               done = std::move(done)](const PeerResult& result) {
-                if (const auto answer = DecodeAnswer(result)) {
-                  directory_.ReportHeard(host);
-                  done(*answer);
-                  return;
-                }
-                directory_.ReportSilent(host, EventLoop::Now());
-                const std::string buddy = BuddyOf(JobPool(sent), host);
-                if (depose || buddy.empty()) {
-                  done(Unknown("home-unreachable"));
-                  return;
-                }
-                if (buddy == self_) {
-                  WorkRequest here = sent;
-                  here.remaining = deadline - EventLoop::Now();
-                  RunJob(here, true, done);
-                  return;
-                }
-                SendJob(sent, buddy, true, deadline, done);
-              });
+  Forward(*to, std::move(message), sent.exchange_id,
+          [this, sent, host, depose, deadline,
+           done = std::move(done)](const PeerResult& result) {
+            if (const auto answer = DecodeAnswer(result)) {
+              directory_.ReportHeard(host);
+              done(*answer);
+              return;
+            }
+            directory_.ReportSilent(host, EventLoop::Now());
+            const std::string buddy = BuddyOf(JobPool(sent), host);
+            if (depose || buddy.empty()) {
+              done(Unknown("home-unreachable"));
+              return;
+            }
+            if (buddy == self_) {
+              WorkRequest here = sent;
+              here.remaining = deadline - EventLoop::Now();
+              RunJob(here, true, done);
+              return;
+            }
+            SendJob(sent, buddy, true, deadline, done);
+          });
 }
 
 void Router::RunJob(const WorkRequest& request, bool depose, Done done) {
@@ -348,18 +382,17 @@
   auto message = EncodeWork(request, kDispatchPath);
   message.headers[kPoolRegion] = pool.region;
   const std::string owner = owners.front().name;
-  peers_.Call({owners.front().address, owners.front().peer_port},
-              std::move(message),
-              [this, owner, done = std::move(done)](const PeerResult& result) {
-                if (const auto answer = DecodeAnswer(result)) {
-                  done(*answer);
-                  return;
-                }
-                directory_.ReportSilent(owner, EventLoop::Now());
-                done(result.outcome == PeerOutcome::kNotSent
-                         ? NotRun("owner-unreachable")
-                         : Unknown("owner-silent"));
-              });
+  Forward(owners.front(), std::move(message), request.exchange_id,
+          [this, owner, done = std::move(done)](const PeerResult& result) {
+            if (const auto answer = DecodeAnswer(result)) {
+              done(*answer);
+              return;
+            }
+            directory_.ReportSilent(owner, EventLoop::Now());
+            done(result.outcome == PeerOutcome::kNotSent
+                     ? NotRun("owner-unreachable")
+                     : Unknown("owner-silent"));
+          });
 }
 
 // Requests of peers -----------------------------------------------------------
@@ -371,6 +404,11 @@
     responder.Respond({});
     return;
   }
+  if (request.path == kCancelPath) {
+    CancelOnLoop(request.body);
+    responder.Respond({});
+    return;
+  }
   const auto work = DecodeWork(request);
   if (!work || !Ready()) {
     responder.Respond({kStatusBadRequest, {}, "not a request for work"});
--- a/src/heather-entry/router.h
+++ b/src/heather-entry/router.h
@@ -20,6 +20,7 @@
 #include "heatherlever/member_record.h"
 #include "heatherlever/member_state.h"
 #include "heathernet/peer_responder.h"
+#include "heathernet/peer_transport.h"
 
 namespace heatherlever {
 struct EpochRecord;
@@ -114,6 +115,11 @@
   void Route(const WorkRequest& request, Done done);
   void RouteIdempotent(const WorkRequest& request, Done done);
   void RouteJob(const WorkRequest& request, Done done);
+  void CancelOnLoop(const std::string& exchange_id);
+  void Forward(const heatherlever::HostRecord& host,
+               heathernet::PeerRequest message,
+               const std::string& exchange_id,
+               heathernet::PeerTransport::Callback callback);
   void TryNextOwner(const std::shared_ptr<PoolTrip>& trip);
   void RunInPool(const WorkRequest& request, const PoolName& pool, Done done);
   void RunJob(const WorkRequest& request, bool depose, Done done);
@@ -150,6 +156,8 @@
   bool epoch_installed_ = false;
   bool leaving_ = false;
   int in_progress_ = 0;
+  // Hosts that requests were forwarded to, by exchange id.
+  std::multimap<std::string, std::string> forwarded_;
 };
 
 }  // namespace heather_entry
