--- a/src/include/heathernet/platform_client.h
+++ b/src/include/heathernet/platform_client.h
@@ -15,6 +15,7 @@
 #include "heathernet/platform_statistics.h"
 #include "heathernet/stored_object.h"
 #include "heathernet/table_entry.h"
+#include "heathernet/table_guard.h"
 #include "heathernet/table_value.h"
 #include "heathernet/write_result.h"
 
@@ -44,12 +45,14 @@
 
   /// Replaces the value of `key` if it is at `expected_version`
   /// (kAbsentVersion: if it has no row), and stores the entries of `also` in
-  /// the same transaction. A lost answer is settled by reading back. Never
-  /// throws PlatformError.
+  /// the same transaction. Every row of `guards` has to be at its version as
+  /// well, otherwise it is a conflict. A lost answer is settled by reading
+  /// back. Never throws PlatformError.
   WriteResult CompareAndSwap(const std::string& key,
                              std::int64_t expected_version,
                              const std::string& value,
-                             const std::vector<TableEntry>& also = {});
+                             const std::vector<TableEntry>& also = {},
+                             const std::vector<TableGuard>& guards = {});
 
   /// An object by its path, `bucket/name`; nothing if there is none.
   std::optional<StoredObject> GetObject(const std::string& path);
--- a/src/libheathernet/conditional_write.cc
+++ b/src/libheathernet/conditional_write.cc
@@ -9,13 +9,11 @@
 namespace heathernet {
 
 ConditionalWrite::ConditionalWrite(PlatformTransport& transport,
-                                   std::string key,
-                                   std::int64_t expected_version,
+                                   std::vector<TableGuard> guards,
                                    std::vector<TableEntry> entries,
                                    std::string marker_key)
     : transport_(transport),
-      key_(std::move(key)),
-      expected_version_(expected_version),
+      guards_(std::move(guards)),
       marker_key_(std::move(marker_key)),
       id_(transport.NextWriteId()),
       entries_(std::move(entries)) {
@@ -23,7 +21,7 @@
 }
 
 // An attempt after a lost answer is no blind write: it repeats the same
-// transaction under the same expected version, which holds at most once, since
+// transaction under the same expected versions, which hold at most once, since
 // versions only grow.
 WriteResult ConditionalWrite::Run(
     PlatformTransport::Clock::time_point deadline) {
@@ -43,10 +41,9 @@
 }
 
 std::optional<WriteResult> ConditionalWrite::Attempt() {
-  const auto answer =
-      transport_.Send(TableTransaction(EtcdCodec::SwapRequest(
-                          key_, expected_version_, entries_, marker_key_)),
-                      deadline_);
+  const auto answer = transport_.Send(
+      TableTransaction(EtcdCodec::SwapRequest(guards_, entries_, marker_key_)),
+      deadline_);
   if (!answer) {
     return std::nullopt;
   }
@@ -64,13 +61,14 @@
 // The key is read before the marker. If another version of the key is seen and
 // no marker after it, this write was not what moved the key and never will be.
 std::optional<WriteResult> ConditionalWrite::ReadBack() {
-  const std::optional<TableValue> row = Read(key_);
+  const TableGuard& guard = guards_.front();
+  const std::optional<TableValue> row = Read(guard.key);
   const std::optional<TableValue> marker = Read(marker_key_);
   if (IsOwnMarker(marker)) {
     return SettledWritten(marker->version);
   }
   const std::int64_t version = row ? row->version : kAbsentVersion;
-  if (version != expected_version_) {
+  if (version != guard.version) {
     return SettledConflict();
   }
   return std::nullopt;
--- a/src/libheathernet/conditional_write.h
+++ b/src/libheathernet/conditional_write.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "heathernet/table_entry.h"
+#include "heathernet/table_guard.h"
 #include "heathernet/table_value.h"
 #include "heathernet/write_result.h"
 #include "platform_transport.h"
@@ -18,9 +19,9 @@
 /// by which a lost answer is settled.
 class ConditionalWrite {
  public:
+  /// `guards` starts with the guard of the key that the write is about.
   ConditionalWrite(PlatformTransport& transport,
-                   std::string key,
-                   std::int64_t expected_version,
+                   std::vector<TableGuard> guards,
                    std::vector<TableEntry> entries,
                    std::string marker_key);
 
@@ -36,8 +37,7 @@
   WriteResult SettledConflict();
 
   PlatformTransport& transport_;
-  const std::string key_;
-  const std::int64_t expected_version_;
+  const std::vector<TableGuard> guards_;
   const std::string marker_key_;
   const std::string id_;
   std::vector<TableEntry> entries_;
--- a/src/libheathernet/etcd_codec.cc
+++ b/src/libheathernet/etcd_codec.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/escaping.h>
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "heathernet/platform_error.h"
 
@@ -80,8 +81,7 @@
   return request.dump();
 }
 
-std::string EtcdCodec::SwapRequest(const std::string& key,
-                                   std::int64_t expected_version,
+std::string EtcdCodec::SwapRequest(const std::vector<TableGuard>& guards,
                                    const std::vector<TableEntry>& entries,
                                    const std::string& marker_key) {
   Json puts = Json::array();
@@ -90,12 +90,16 @@
                      {{"key", absl::Base64Escape(entry.key)},
                       {"value", absl::Base64Escape(entry.value)}}}});
   }
-  Json compare = RangeOf(key);
-  compare["target"] = "MOD";
-  compare["result"] = "EQUAL";
-  compare["mod_revision"] = std::to_string(expected_version);
+  Json compares = Json::array();
+  for (const TableGuard& guard : guards) {
+    Json compare = RangeOf(guard.key);
+    compare["target"] = "MOD";
+    compare["result"] = "EQUAL";
+    compare["mod_revision"] = std::to_string(guard.version);
+    compares.push_back(std::move(compare));
+  }
   const Json read_marker = {{"requestRange", RangeOf(marker_key)}};
-  return Json{{"compare", Json::array({compare})},
+  return Json{{"compare", compares},
               {"success", puts},
               {"failure", Json::array({read_marker})}}
       .dump();
--- a/src/libheathernet/etcd_codec.h
+++ b/src/libheathernet/etcd_codec.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "heathernet/table_entry.h"
+#include "heathernet/table_guard.h"
 #include "heathernet/table_value.h"
 
 namespace heathernet {
@@ -22,10 +23,8 @@
   /// A read of every key with a prefix.
   static std::string PrefixRequest(const std::string& prefix);
 
-  /// Stores `entries` if `key` is at `expected_version`; otherwise reads
-  /// `marker_key`.
-  static std::string SwapRequest(const std::string& key,
-                                 std::int64_t expected_version,
+  /// Stores `entries` if every guard holds; otherwise reads `marker_key`.
+  static std::string SwapRequest(const std::vector<TableGuard>& guards,
                                  const std::vector<TableEntry>& entries,
                                  const std::string& marker_key);
 
--- a/src/libheathernet/platform_client.cc
+++ b/src/libheathernet/platform_client.cc
@@ -79,12 +79,11 @@
     return EtcdCodec::ParseRows(CheckedBody(answer));
   }
 
-  WriteResult Write(const std::string& key,
-                    std::int64_t expected_version,
+  WriteResult Write(std::vector<TableGuard> guards,
                     std::vector<TableEntry> entries) {
     const std::int64_t row = markers_.Take();
-    ConditionalWrite write(transport_, key, expected_version,
-                           std::move(entries), markers_.Key(row));
+    ConditionalWrite write(transport_, std::move(guards), std::move(entries),
+                           markers_.Key(row));
     const WriteResult result = RunToStatus(write);
     if (result.status != WriteStatus::kUnavailable) {
       markers_.Return(row);
@@ -141,10 +140,13 @@
     const std::string& key,
     std::int64_t expected_version,
     const std::string& value,
-    const std::vector<TableEntry>& also) {
+    const std::vector<TableEntry>& also,
+    const std::vector<TableGuard>& guards) {
   std::vector<TableEntry> entries = also;
   entries.push_back({key, value});
-  return impl_->Write(key, expected_version, std::move(entries));
+  std::vector<TableGuard> all_guards = {{key, expected_version}};
+  all_guards.insert(all_guards.end(), guards.begin(), guards.end());
+  return impl_->Write(std::move(all_guards), std::move(entries));
 }
 
 std::optional<StoredObject> PlatformClient::GetObject(const std::string& path) {
--- a/src/libheathernet/platform_client_test.cc
+++ b/src/libheathernet/platform_client_test.cc
@@ -66,6 +66,20 @@
             WriteStatus::kWritten);
 }
 
+TEST_F(PlatformClientTest, SwapHoldsOnlyWhileItsGuardsHold) {
+  const auto client = Make(Settings("a"));
+  const auto lease = client->CompareAndSwap("lease", kAbsentVersion, "1");
+  const TableGuard guard{"lease", lease.version};
+  const auto first =
+      client->CompareAndSwap("k", kAbsentVersion, "1", {}, {guard});
+  EXPECT_EQ(first.status, WriteStatus::kWritten);
+  client->CompareAndSwap("lease", lease.version, "2");
+  server_.SetFaults({{"lose_next_answers", 1}});
+  EXPECT_EQ(client->CompareAndSwap("k", first.version, "2", {}, {guard}).status,
+            WriteStatus::kConflict);
+  EXPECT_EQ(client->Get("k")->value, "1");
+}
+
 TEST_F(PlatformClientTest, PrefixListsItsKeysOnly) {
   const auto client = Make(Settings("a"));
   for (const char* key : {"p/1", "p/2", "q/1", "p0"}) {
