--- a/src/heather-planner/main.cc
+++ b/src/heather-planner/main.cc
@@ -1,11 +1,16 @@
 // Keeps the membership epoch up to date. Any entry host may run it.
 
+#include <condition_variable>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <mutex>
+#include <random>
+#include <stdexcept>
 
 #include "heather-planner/planner.h"
 #include "heather-planner/planner_settings.h"
 #include "heathernet/log.h"
+#include "heathernet/platform_client.h"
 #include "heathernet/signal_waiter.h"
 
 namespace heather_planner {
@@ -14,6 +19,34 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitBadInput = 2;
 
+// Looks and plans until a signal asks for the end.
+int Serve(const PlannerSettings& settings) {
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool stopping = false;
+  heathernet::SignalWaiter signals([&] {
+    const std::lock_guard<std::mutex> lock(mutex);
+    stopping = true;
+    changed.notify_all();
+  });
+  auto client = heathernet::PlatformClient::Create(settings.platform);
+  if (!client.ok()) {
+    throw std::runtime_error(std::string(client.status().message()));
+  }
+  Planner planner(settings, **client);
+  std::cout << "ready" << std::endl;
+  std::unique_lock<std::mutex> lock(mutex);
+  while (!stopping) {
+    lock.unlock();
+    planner.Step();
+    lock.lock();
+    changed.wait_for(lock, settings.interval, [&] { return stopping; });
+  }
+  lock.unlock();
+  planner.Release();
+  return 0;
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options(
       "heather-planner",
@@ -49,11 +82,11 @@
   }
   heathernet::SetLogLevel(parsed.count("verbose") != 0 ? "debug"
                                                        : settings->log_level);
-  Planner planner(*settings);
-  heathernet::SignalWaiter signals([&planner] { planner.Stop(); });
-  std::cout << "ready" << std::endl;
-  planner.Run();
-  return 0;
+  PlannerSettings own = *settings;
+  // Two processes of one name must not be taken for each other.
+  own.lease.self = own.name + "/" + std::to_string(std::random_device{}());
+  own.platform.client_id = "planner/" + own.lease.self;
+  return Serve(own);
 }
 
 }  // namespace
--- a/src/heather-planner/planner.cc
+++ b/src/heather-planner/planner.cc
@@ -2,10 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
-#include <chrono>
-#include <stdexcept>
+#include <nlohmann/json.hpp>
 
-#include "heather-planner/planner_settings.h"
 #include "heatherlever/config_record.h"
 #include "heatherlever/deployment_loader.h"
 #include "heatherlever/epoch_codec.h"
@@ -14,109 +12,150 @@
 #include "heathernet/log.h"
 #include "heathernet/platform_client.h"
 #include "heathernet/platform_error.h"
-#include "heathernet/platform_settings.h"
-#include "heathernet/table_value.h"
-#include "heathernet/write_result.h"
 
 namespace heather_planner {
+namespace {
 
 using heatherlever::EpochRecord;
-using heathernet::PartLogger;
-
-namespace {
+using heatherlever::LeaseRecord;
+using heathernet::EventLoop;
+using heathernet::PlatformError;
+using heathernet::WriteStatus;
 
+constexpr char kLeaseKey[] = "lease/planner";
 constexpr char kEpochKey[] = "epoch/current";
 
-std::unique_ptr<heathernet::PlatformClient> MakeClient(
-    const PlannerSettings& settings) {
-  const auto start = std::chrono::system_clock::now().time_since_epoch();
-  const auto incarnation =
-      std::chrono::duration_cast<std::chrono::milliseconds>(start).count();
-  heathernet::PlatformSettings platform;
-  platform.address = settings.platform_address;
-  platform.port = settings.platform_port;
-  platform.client_id = settings.name + "." + std::to_string(incarnation);
-  platform.seed = static_cast<std::uint64_t>(incarnation);
-  auto client = heathernet::PlatformClient::Create(platform);
-  if (!client.ok()) {
-    throw std::runtime_error(std::string(client.status().message()));
+// Turns a record that cannot be read into the error of the layer below.
+template <typename Record>
+Record Checked(absl::StatusOr<Record> record) {
+  if (!record.ok()) {
+    throw PlatformError(PlatformError::Kind::kBadAnswer,
+                        std::string(record.status().message()));
   }
-  return *std::move(client);
+  return *std::move(record);
 }
 
 }  // namespace
 
-Planner::Planner(const PlannerSettings& settings)
-    : interval_(settings.interval),
-      client_(MakeClient(settings)),
-      planner_(settings.missing_time) {}
-
-Planner::~Planner() = default;
-
-void Planner::Run() {
-  std::unique_lock<std::mutex> lock(mutex_);
-  while (!stopping_) {
-    lock.unlock();
-    try {
-      Step();
-    } catch (const heathernet::PlatformError& error) {
-      PartLogger("planner")->warn("no answer: {}", error.what());
+Planner::Planner(const PlannerSettings& settings,
+                 heathernet::PlatformClient& client)
+    : client_(client),
+      log_(heathernet::PartLogger("planner")),
+      lease_(settings.lease),
+      epochs_(settings.missing_time) {}
+
+void Planner::Step() {
+  try {
+    KeepLease();
+    if (holds_lease()) {
+      Plan();
+    } else {
+      epochs_.Reset();
     }
-    lock.lock();
-    changed_.wait_for(lock, interval_, [this] { return stopping_; });
+  } catch (const PlatformError& error) {
+    log_->warn("platform: {}", error.what());
   }
 }
 
-void Planner::Stop() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  stopping_ = true;
-  changed_.notify_all();
+void Planner::Release() {
+  if (const auto write = lease_.Release(EventLoop::Now())) {
+    WriteLease(*write);
+    log_->info("lease released");
+  }
 }
 
-void Planner::Step() {
-  const heatherlever::DeploymentSpec* spec = NewestSpec();
-  if (spec == nullptr) {
-    return;
+std::string Planner::Dump() const {
+  nlohmann::json dump = {{"lease", nlohmann::json::parse(lease_.Dump())},
+                         {"holds_lease", holds_lease()}};
+  if (epoch_) {
+    dump["epoch"] = nlohmann::json::parse(heatherlever::EncodeEpoch(*epoch_));
   }
-  const auto row = client_->Get(kEpochKey);
-  std::optional<EpochRecord> current;
+  return dump.dump();
+}
+
+bool Planner::holds_lease() const {
+  return lease_.Holds(EventLoop::Now());
+}
+
+void Planner::KeepLease() {
+  ReadLease();
+  const bool held = holds_lease();
+  if (const auto write = lease_.NextWrite(EventLoop::Now())) {
+    WriteLease(*write);
+  }
+  if (!held && holds_lease()) {
+    log_->info("lease taken, generation {}", lease_.record()->generation);
+  }
+}
+
+void Planner::ReadLease() {
+  const auto row = client_.Get(kLeaseKey);
   if (row) {
-    auto decoded = heatherlever::DecodeEpoch(row->value);
-    if (!decoded.ok()) {
-      PartLogger("planner")->error("unreadable epoch: {}",
-                                   std::string(decoded.status().message()));
+    lease_.Observed(Checked(LeaseRecord::Parse(row->value)), row->version,
+                    EventLoop::Now());
+  } else {
+    lease_.Observed(std::nullopt, heathernet::kAbsentVersion, EventLoop::Now());
+  }
+}
+
+void Planner::WriteLease(const heatherlever::LeaseWrite& write) {
+  const heathernet::WriteResult result = client_.CompareAndSwap(
+      kLeaseKey, write.expected_version, write.record.Encode());
+  switch (result.status) {
+    case WriteStatus::kWritten:
+      lease_.Written(result.version);
       return;
-    }
-    current = *std::move(decoded);
+    case WriteStatus::kConflict:
+      lease_.Conflicted();
+      return;
+    case WriteStatus::kUnavailable:
+      lease_.Unsettled();
+  }
+}
+
+void Planner::Plan() {
+  const auto row = client_.Get(kEpochKey);
+  epoch_.reset();
+  if (row) {
+    epoch_ = Checked(heatherlever::DecodeEpoch(row->value));
+  }
+  ReadConfig();
+  if (config_version_ == 0) {
+    return;
   }
   heatherlever::EpochInput input;
-  input.spec = spec;
+  input.spec = &spec_;
   input.config_version = config_version_;
-  input.hosts = client_->HostList();
-  const auto next = planner_.Plan(current, input, heathernet::EventLoop::Now());
+  input.hosts = client_.HostList();
+  const auto next = epochs_.Plan(epoch_, input, EventLoop::Now());
   if (next) {
-    Write(row ? row->version : heathernet::kAbsentVersion, *next);
+    WriteEpoch(*next, row ? row->version : heathernet::kAbsentVersion);
   }
 }
 
-const heatherlever::DeploymentSpec* Planner::NewestSpec() {
-  const auto newest = heathernet::ConfigStore(*client_).Newest();
-  if (newest && newest->version > config_version_) {
-    auto spec = heatherlever::LoadDeployment(newest->yaml, "config/current");
-    if (spec.ok()) {
-      spec_ = *std::move(spec);
-      config_version_ = newest->version;
-    }
+void Planner::ReadConfig() {
+  const auto newest = heathernet::ConfigStore(client_).Newest();
+  if (!newest || newest->version <= config_version_) {
+    return;
   }
-  return config_version_ == 0 ? nullptr : &spec_;
+  spec_ = Checked(heatherlever::LoadDeployment(newest->yaml, "config/current"));
+  config_version_ = newest->version;
 }
 
-void Planner::Write(std::int64_t row_version, const EpochRecord& record) {
-  const auto result = client_->CompareAndSwap(
-      kEpochKey, row_version, heatherlever::EncodeEpoch(record));
-  if (result.status == heathernet::WriteStatus::kWritten) {
-    PartLogger("planner")->info("epoch {} written, {} members", record.number,
-                                record.members.size());
+void Planner::WriteEpoch(const EpochRecord& next, std::int64_t row_version) {
+  const auto token = lease_.Token(EventLoop::Now());
+  if (!token) {
+    return;
+  }
+  // The guard refuses the write if the lease changed hands after the check.
+  const heathernet::WriteResult result = client_.CompareAndSwap(
+      kEpochKey, row_version, heatherlever::EncodeEpoch(next), {},
+      {{kLeaseKey, token->row_version}});
+  log_->info(
+      "epoch {} with {} members: {}", next.number, next.members.size(),
+      heathernet::kWriteStatusNames[static_cast<std::size_t>(result.status)]);
+  if (result.status == WriteStatus::kWritten) {
+    epoch_ = next;
   }
 }
 
--- a/src/heather-planner/planner.h
+++ b/src/heather-planner/planner.h
@@ -1,15 +1,19 @@
 #ifndef HEATHER_PLANNER_PLANNER_H_
 #define HEATHER_PLANNER_PLANNER_H_
 
-#include <condition_variable>
-#include <cstdint>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
+#include <string>
 
+#include "heather-planner/planner_settings.h"
 #include "heatherlever/deployment_spec.h"
 #include "heatherlever/epoch_planner.h"
+#include "heatherlever/epoch_record.h"
+#include "heatherlever/lease.h"
+
+namespace spdlog {
+class logger;
+}
 
 namespace heathernet {
 class PlatformClient;
@@ -17,36 +21,43 @@
 
 namespace heather_planner {
 
-struct PlannerSettings;
-
-/// Keeps the membership epoch in the platform's table up to date with the host
-/// list and the configuration.
+/// Writes the membership epoch while it holds the lease `lease/planner`.
 class Planner {
  public:
-  /// Throws std::runtime_error for unusable settings.
-  explicit Planner(const PlannerSettings& settings);
-  ~Planner();
+  /// `client` has to outlive the planner.
+  Planner(const PlannerSettings& settings, heathernet::PlatformClient& client);
 
-  /// Looks and plans until Stop().
-  void Run();
+  /// Looks at the lease, takes or renews it if that is due, and writes the
+  /// next epoch if the lease is held and an epoch is due. Does nothing more if
+  /// the platform does not answer.
+  void Step();
 
-  /// Makes Run() return soon. Callable from any thread.
-  void Stop();
+  /// Gives the lease up so that another planner may take it at once.
+  void Release();
+
+  /// The whole state, as JSON.
+  std::string Dump() const;
+
+  bool holds_lease() const;
 
  private:
-  void Step();
-  // The newest configuration; nothing before the first.
-  const heatherlever::DeploymentSpec* NewestSpec();
-  void Write(std::int64_t row_version, const heatherlever::EpochRecord& record);
+  void KeepLease();
+  void ReadLease();
+  void WriteLease(const heatherlever::LeaseWrite& write);
+  void Plan();
+  // Takes a newer configuration, if there is one.
+  void ReadConfig();
+  void WriteEpoch(const heatherlever::EpochRecord& next,
+                  std::int64_t row_version);
 
-  const heatherlever::Duration interval_;
-  std::unique_ptr<heathernet::PlatformClient> client_;
-  heatherlever::EpochPlanner planner_;
+  heathernet::PlatformClient& client_;
+  std::shared_ptr<spdlog::logger> log_;
+  heatherlever::Lease lease_;
+  heatherlever::EpochPlanner epochs_;
+  std::optional<heatherlever::EpochRecord> epoch_;
+  // 0 before the first configuration.
   std::int64_t config_version_ = 0;
   heatherlever::DeploymentSpec spec_;
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  bool stopping_ = false;
 };
 
 }  // namespace heather_planner
--- a/src/heather-planner/planner_settings.h
+++ b/src/heather-planner/planner_settings.h
@@ -3,10 +3,11 @@
 
 #include <absl/status/statusor.h>
 
-#include <cstdint>
 #include <string>
 
 #include "heatherlever/instant.h"
+#include "heatherlever/lease.h"
+#include "heathernet/platform_settings.h"
 
 namespace heather_planner {
 
@@ -15,9 +16,9 @@
 struct PlannerSettings {
   /// Unique among the planners.
   std::string name;
-  std::string platform_address;
-  std::uint16_t platform_port = 0;
-  /// Time between two looks at the host list.
+  heathernet::PlatformSettings platform;
+  heatherlever::LeaseSettings lease;
+  /// Time between two looks at the platform.
   heatherlever::Duration interval{0};
   /// A host has to be off the list this long before it leaves the epoch.
   heatherlever::Duration missing_time{0};
--- a/src/include/heatherlever/epoch_planner.h
+++ b/src/include/heatherlever/epoch_planner.h
@@ -34,6 +34,9 @@
                                   const EpochInput& input,
                                   Instant now);
 
+  /// Forgets which hosts were missing, as after a time without the lease.
+  void Reset() { missing_.clear(); }
+
  private:
   std::vector<HostRecord> Members(const std::optional<EpochRecord>& current,
                                   const std::vector<HostRecord>& hosts,
