Measure the traffic of the membership at several sizes

heather-bench-membership runs fleets in virtual time over the real encoding and adds the bytes that the transport measurably puts around a call (HTTP/2 counted on loopback, TCP and IP headers by packet).

--- a/src/include/heatherlever/membership_fleet.h
+++ b/src/include/heatherlever/membership_fleet.h
@@ -24,6 +24,9 @@
   struct Traffic {
     std::uint64_t calls_sent = 0;
     std::uint64_t calls_received = 0;
+    /// Connections for these calls, if each is kept for 30 s without a call.
+    std::uint64_t connects_sent = 0;
+    std::uint64_t connects_received = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
   };
@@ -97,6 +100,7 @@
   void Deliver(const std::string& from,
                const std::string& to,
                const std::string& bytes);
+  void CountCall(Host& from, Host& to);
   void Receive(Host& host, const std::string& bytes);
   /// Carries out actions. `answering` names the host whose call they answer.
   void Apply(Host& host,
--- a/src/libheatherlever/membership_fleet.cc
+++ b/src/libheatherlever/membership_fleet.cc
@@ -7,6 +7,7 @@
 
 constexpr Duration kDomainLatency{1'500};
 constexpr Duration kRegionLatency{12'000};
+constexpr Duration kIdleTimeout{30'000'000};
 constexpr std::uint16_t kPort = 7000;
 
 }  // namespace
@@ -19,6 +20,8 @@
   std::unique_ptr<Membership> process;
   // Encoded messages that arrived while frozen.
   std::vector<std::string> waiting;
+  // When this host last called each other one.
+  std::map<std::string, Instant> last_calls;
   Traffic traffic;
 };
 
@@ -170,6 +173,17 @@
                                                   : kRegionLatency;
 }
 
+void MembershipFleet::CountCall(Host& from, Host& to) {
+  ++from.traffic.calls_sent;
+  ++to.traffic.calls_received;
+  const auto [last, first] = from.last_calls.try_emplace(to.listing.id, now_);
+  if (first || now_ - last->second > kIdleTimeout) {
+    ++from.traffic.connects_sent;
+    ++to.traffic.connects_received;
+  }
+  last->second = now_;
+}
+
 void MembershipFleet::Apply(Host& host,
                             const MembershipActions& actions,
                             const std::string& answering) {
@@ -186,8 +200,7 @@
     const bool is_answer = !answered && send->to == answering;
     answered = answered || is_answer;
     if (!is_answer) {
-      ++host.traffic.calls_sent;
-      ++At(send->to).traffic.calls_received;
+      CountCall(host, At(send->to));
     }
     const std::string bytes = EncodeMembershipMessage(send->message);
     host.traffic.bytes_sent += bytes.size();
