Pick neighbors by rings, so that all hosts are probed about as often

Cause: with neighbors by rendezvous order the number of hosts that probe one host varies, and the busiest of 1,000 hosts exchanged 12024 bytes a second, above the budget of 11 KB/s. Successors on rings of independent hash orders form a random graph as well, with as many predecessors as successors.

Also keeps the set of suspects, because a scan of the whole table on every tick took most of the processor time of large fleets.

At these sizes the spread is mostly that of the few outside neighbors.

--- a/src/include/heatherlever/member_table.h
+++ b/src/include/heatherlever/member_table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
 
   const std::map<std::string, Member>& members() const { return members_; }
 
+  /// Hosts whose version says suspect.
+  const std::set<std::string>& suspects() const { return suspects_; }
+
   /// Equal for equal versions of the hosts that are alive or suspect.
   std::uint64_t digest() const { return digest_; }
 
@@ -58,6 +62,7 @@
   void AddListed(const ListedHost& host, Instant now);
 
   std::map<std::string, Member> members_;
+  std::set<std::string> suspects_;
   std::uint64_t digest_ = 0;
 };
 
--- a/src/libheatherlever/member_table.cc
+++ b/src/libheatherlever/member_table.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <array>
-#include <iterator>
 
 namespace heatherlever {
 namespace {
@@ -63,6 +62,11 @@
   digest_ ^= Digest(member.record) ^ Digest(record);
   member.record = record;
   member.changed = now;
+  if (record.version.state == MemberState::kSuspect) {
+    suspects_.insert(record.id);
+  } else {
+    suspects_.erase(record.id);
+  }
 }
 
 void MemberTable::AddListed(const ListedHost& host, Instant now) {
@@ -94,7 +98,12 @@
     const MemberVersion& version = member.record.version;
     const bool forgotten = !member.listed && it->first != self &&
                            (Ended(version.state) || version.incarnation == 0);
-    it = forgotten ? members_.erase(it) : std::next(it);
+    if (!forgotten) {
+      ++it;
+      continue;
+    }
+    suspects_.erase(it->first);
+    it = members_.erase(it);
   }
 }
 
@@ -104,10 +113,8 @@
 }
 
 void MemberTable::ResetSuspicions(Instant now) {
-  for (auto& [id, member] : members_) {
-    if (member.record.version.state == MemberState::kSuspect) {
-      member.changed = now;
-    }
+  for (const std::string& id : suspects_) {
+    members_.at(id).changed = now;
   }
 }
 
--- a/src/libheatherlever/membership.cc
+++ b/src/libheatherlever/membership.cc
@@ -645,9 +645,9 @@
 
 void Membership::Impl::ExpireSuspicions() {
   std::vector<MemberRecord> expired;
-  for (const auto& [id, member] : table_.members()) {
-    const MemberVersion& version = member.record.version;
-    if (version.state == MemberState::kSuspect && version.incarnation != 0 &&
+  for (const std::string& id : table_.suspects()) {
+    const MemberTable::Member& member = *table_.Find(id);
+    if (member.record.version.incarnation != 0 &&
         now_ - member.changed > options_.dead_after) {
       expired.push_back(member.record);
     }
--- a/src/libheatherlever/neighbor_selection.cc
+++ b/src/libheatherlever/neighbor_selection.cc
@@ -2,27 +2,50 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <vector>
 
 namespace heatherlever {
 namespace {
 
-using Scored = std::pair<std::uint64_t, std::string>;
-
-// Adds the `count` candidates of the highest score.
-void TakeHighest(std::vector<Scored>& candidates,
-                 std::size_t count,
-                 std::set<std::string>& taken) {
-  const std::size_t size = std::min(count, candidates.size());
-  std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(size),
-                    candidates.end(), std::greater<>());
-  for (std::size_t i = 0; i < size; ++i) {
-    taken.insert(candidates[i].second);
+// A host's place on a ring, which every host computes alike.
+using Place = std::pair<std::uint64_t, std::string>;
+
+Place PlaceOnRing(const std::string& id, std::uint64_t ring) {
+  return {XXH3_64bits_withSeed(id.data(), id.size(), ring), id};
+}
+
+bool InService(const MemberTable::Member& member) {
+  const MemberState state = member.state();
+  return state == MemberState::kAlive || state == MemberState::kSuspect;
+}
+
+// Adds the candidate that follows `self` on a ring.
+void TakeSuccessor(const std::vector<std::string>& candidates,
+                   const std::string& self,
+                   std::uint64_t ring,
+                   std::set<std::string>& taken) {
+  const Place own = PlaceOnRing(self, ring);
+  std::optional<Place> next;
+  std::optional<Place> first;
+  for (const std::string& id : candidates) {
+    if (taken.count(id) != 0) {
+      continue;
+    }
+    const Place place = PlaceOnRing(id, ring);
+    if (!first || place < *first) {
+      first = place;
+    }
+    if (own < place && (!next || place < *next)) {
+      next = place;
+    }
+  }
+  if (!first) {
+    return;
   }
+  taken.insert(next ? next->second : first->second);
 }
 
 }  // namespace
@@ -30,24 +53,25 @@
 std::set<std::string> SelectNeighbors(const MemberTable& table,
                                       const MemberRecord& self,
                                       const MembershipOptions& options) {
-  // Each host orders the others by its own hash, so that the neighbors of all
-  // form a random graph: news crosses it in a number of steps that grows with
-  // the logarithm of its size.
-  const std::uint64_t seed = XXH3_64bits(self.id.data(), self.id.size());
-  std::vector<Scored> inside;
-  std::vector<Scored> outside;
+  std::vector<std::string> inside;
+  std::vector<std::string> outside;
   for (const auto& [id, member] : table.members()) {
-    const MemberState state = member.state();
-    if (id == self.id || state == MemberState::kDead ||
-        state == MemberState::kLeaving) {
-      continue;
+    if (id != self.id && InService(member)) {
+      (member.record.region == self.region ? inside : outside).push_back(id);
     }
-    auto& group = member.record.region == self.region ? inside : outside;
-    group.emplace_back(XXH3_64bits_withSeed(id.data(), id.size(), seed), id);
   }
+  // The successors on several rings of independent orders form a random graph
+  // in which each host has about as many predecessors as successors: news
+  // crosses it in a number of steps that grows with the logarithm of its size,
+  // and no host carries much more than another.
   std::set<std::string> taken;
-  TakeHighest(inside, options.region_neighbors, taken);
-  TakeHighest(outside, options.outside_neighbors, taken);
+  std::uint64_t ring = 0;
+  for (std::size_t i = 0; i < options.region_neighbors; ++i) {
+    TakeSuccessor(inside, self.id, ring++, taken);
+  }
+  for (std::size_t i = 0; i < options.outside_neighbors; ++i) {
+    TakeSuccessor(outside, self.id, ring++, taken);
+  }
   return taken;
 }
 
--- a/src/libheatherlever/neighbor_selection.h
+++ b/src/libheatherlever/neighbor_selection.h
@@ -9,9 +9,9 @@
 
 namespace heatherlever {
 
-/// The hosts that `self` probes: those of its region, and of other regions,
-/// that come first in the rendezvous order of `self`. Hosts that are dead or
-/// leaving are passed over.
+/// The hosts that `self` probes: its successors of the own region and of other
+/// regions on rings ordered by hash. Hosts that are dead or leaving are passed
+/// over.
 std::set<std::string> SelectNeighbors(const MemberTable& table,
                                       const MemberRecord& self,
                                       const MembershipOptions& options);
