--- a/src/heather-scenario/models.cc
+++ b/src/heather-scenario/models.cc
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "heather-scenario/placement_model.h"
+#include "heather-scenario/membership_model.h"
 #include "heather-scenario/rank_model.h"
 #include "heather-scenario/scenario_error.h"
 #include "heather-scenario/scenario_model.h"
@@ -14,6 +15,7 @@
   using Factory = std::function<std::unique_ptr<ScenarioModel>()>;
   static const std::map<std::string, Factory> factories = {
       {"placement", MakePlacementModel},
+      {"membership", MakeMembershipModel},
       {"rank", MakeRankModel},
   };
   const auto found = factories.find(name);
