Keep the gradient limit, drop AIMD

The test of a new owner's allowance counts two steps of the gradient in place of one of AIMD, and now pins the exact number in flight. Conclusion: gradient kept as the only adaptive one; fixed stays to compare.

--- a/src/heather-bench-decisions/main.cc
+++ b/src/heather-bench-decisions/main.cc
@@ -72,9 +72,6 @@
   if (name == "gradient") {
     return heatherlever::LimitPolicy::kGradient;
   }
-  if (name == "aimd") {
-    return heatherlever::LimitPolicy::kAimd;
-  }
   throw std::invalid_argument("no limit policy is named '" + name + "'");
 }
 
@@ -95,8 +92,8 @@
       cxxopts::value<std::vector<double>>()->default_value("0.7,0.95,1.5,5"));
   add("seed", "seed of every run",
       cxxopts::value<std::uint64_t>()->default_value("1"));
-  add("limit", "limit policy of ours: aimd, gradient or fixed",
-      cxxopts::value<std::string>()->default_value("aimd"));
+  add("limit", "limit policy of ours: gradient or fixed",
+      cxxopts::value<std::string>()->default_value("gradient"));
   add("lifo", "serve idempotent work last in, first out under overload");
   add("version", "print the version");
   add("help", "print this help");
--- a/src/include/heatherlever/pool_options.h
+++ b/src/include/heatherlever/pool_options.h
@@ -18,9 +18,8 @@
 enum class LimitPolicy {
   /// Every slot, always.
   kFixed,
-  /// Additive increase, multiplicative decrease on sheds and slowness.
-  kAimd,
-  /// Scaled by the ratio of the usual to the present latency.
+  /// Scaled down as the server's latency rises above `slow_multiple` times the
+  /// pool's median, and with each burst of sheds; grows slowly otherwise.
   kGradient,
 };
 
@@ -56,12 +55,12 @@
   /// after the attempt's deadline, unless the server confirms its end.
   Duration slot_quarantine = std::chrono::milliseconds(500);
 
-  LimitPolicy limit_policy = LimitPolicy::kAimd;
+  LimitPolicy limit_policy = LimitPolicy::kGradient;
   /// Share of a cold server's slots that are used at first; at least one.
   double cold_share = 0.25;
   /// Share of each server's slots that a new owner uses at first.
   double adopted_share = 0.5;
-  /// Least time between two steps, by one slot, of a growing limit.
+  /// Least time between two steps of a limit.
   Duration growth_interval = std::chrono::milliseconds(250);
   /// A server is slow if its smoothed latency is above this multiple of the
   /// pool's median.
--- a/src/libheatherlever/concurrency_limit.cc
+++ b/src/libheatherlever/concurrency_limit.cc
@@ -9,10 +9,10 @@
 constexpr double kShrinkFactor = 0.75;
 constexpr double kMinLimit = 1;
 
-// Growth intervals that a limit stays put after it shrank.
+// Growth intervals that a limit stays put after a shed.
 constexpr int kHoldIntervals = 8;
 
-// Gradient: lowest ratio applied in one step.
+// Lowest ratio applied in one step.
 constexpr double kMinGradient = 0.5;
 
 }  // namespace
@@ -33,62 +33,33 @@
 
 void ConcurrencyLimit::Restart(double share, Instant now) {
   limit_ = std::max(kMinLimit, std::floor(share * slots_));
-  next_growth_ = now + options_.growth_interval;
+  next_step_ = now + options_.growth_interval;
   next_shrink_ = now;
 }
 
 void ConcurrencyLimit::OnAnswer(double slowness, Instant now) {
-  switch (options_.limit_policy) {
-    case LimitPolicy::kFixed:
-      limit_ = slots_;
-      return;
-    case LimitPolicy::kGradient:
-      FollowGradient(slowness, now);
-      return;
-    case LimitPolicy::kAimd:
-      if (slowness > options_.slow_multiple) {
-        Shrink(now);
-      } else {
-        Grow(now);
-      }
-      return;
+  if (options_.limit_policy == LimitPolicy::kFixed || now < next_step_) {
+    return;
   }
+  const double gradient =
+      std::clamp(options_.slow_multiple / slowness, kMinGradient, 1.0);
+  const double target = limit_ * gradient + std::sqrt(limit_);
+  limit_ = std::clamp<double>((limit_ + target) / 2, kMinLimit, slots_);
+  next_step_ = now + options_.growth_interval;
 }
 
+// Several sheds of one burst count once.
 void ConcurrencyLimit::OnShed(Instant now) {
-  if (options_.limit_policy != LimitPolicy::kFixed) {
-    Shrink(now);
-  }
-}
-
-void ConcurrencyLimit::Grow(Instant now) {
-  if (now < next_growth_ || limit_ >= slots_) {
+  if (options_.limit_policy == LimitPolicy::kFixed) {
     return;
   }
-  limit_ = std::min<double>(slots_, std::floor(limit_) + 1);
-  next_growth_ = now + options_.growth_interval;
-}
-
-// Several sheds of one burst count once.
-void ConcurrencyLimit::Shrink(Instant now) {
-  next_growth_ = now + kHoldIntervals * options_.growth_interval;
+  next_step_ = now + kHoldIntervals * options_.growth_interval;
   if (now < next_shrink_) {
     return;
   }
-  limit_ = std::max(kMinLimit, std::min(std::floor(limit_) - 1,
-                                        std::floor(limit_ * kShrinkFactor)));
+  const double step = std::floor(limit_) - 1;
+  limit_ = std::max(kMinLimit, std::min(step, limit_ * kShrinkFactor));
   next_shrink_ = now + options_.growth_interval;
 }
 
-void ConcurrencyLimit::FollowGradient(double slowness, Instant now) {
-  if (now < next_growth_) {
-    return;
-  }
-  const double gradient =
-      std::clamp(options_.slow_multiple / slowness, kMinGradient, 1.0);
-  const double target = limit_ * gradient + std::sqrt(limit_);
-  limit_ = std::clamp<double>((limit_ + target) / 2, kMinLimit, slots_);
-  next_growth_ = now + options_.growth_interval;
-}
-
 }  // namespace heatherlever
--- a/src/libheatherlever/concurrency_limit.h
+++ b/src/libheatherlever/concurrency_limit.h
@@ -31,14 +31,10 @@
   void OnShed(Instant now);
 
  private:
-  void Grow(Instant now);
-  void Shrink(Instant now);
-  void FollowGradient(double slowness, Instant now);
-
   const PoolOptions& options_;
   int slots_;
   double limit_;
-  Instant next_growth_{0};
+  Instant next_step_{0};
   Instant next_shrink_{0};
 };
 
--- a/src/libheatherlever/pool_queue_test.cc
+++ b/src/libheatherlever/pool_queue_test.cc
@@ -231,9 +231,15 @@
   }
   // Half of six slots, less the two that the earlier owner's work holds.
   EXPECT_EQ(driver.order.size(), 1U);
-  driver.Advance(milliseconds(500));
-  driver.Done(1, AttemptResult::kOk);
-  EXPECT_GT(driver.order.size(), 2U);
+  for (const AttemptId attempt : {1, 2}) {
+    driver.Advance(milliseconds(500));
+    driver.Done(attempt, AttemptResult::kOk);
+  }
+  // Four slots after two good answers, still less two.
+  EXPECT_EQ(driver.in_flight["b0"], 2);
+  driver.Advance(seconds(1));
+  EXPECT_EQ(
+      driver.pool->Summary().free_slots + driver.pool->Summary().in_flight, 4);
 }
 
 }  // namespace
