Test the pool's parts, its order and its floors

Cause: the order and the floors were only tested by examples. Contents: unit tests of each part; a differential test of the dispatch order against a queue that scans everything; a property of the floors, to within a tenth, for any floor from 0.05 to 0.5 and 1 to 12 slots. Ruled out: driving the floor property through the checking driver, whose scans took 10 s.

--- /dev/null
+++ b/src/libheatherlever/backend_ledger_test.cc
@@ -0,0 +1,74 @@
+#include "backend_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace heatherlever {
+namespace {
+
+std::vector<BackendSpec> Specs(int count, int slots) {
+  std::vector<BackendSpec> specs(static_cast<std::size_t>(count));
+  for (std::size_t i = 0; i < specs.size(); ++i) {
+    specs[i].name = std::string("b").append(std::to_string(i));
+    specs[i].slots = slots;
+  }
+  return specs;
+}
+
+TEST(BackendLedgerTest, PicksTheServerWithTheMostFreeSlots) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(2, 2), {}, Instant(0));
+  ledger.Take(0);
+  EXPECT_EQ(ledger.Pick({}), BackendIndex{1});
+  EXPECT_EQ(ledger.Pick({1}), BackendIndex{0});
+  EXPECT_EQ(ledger.Pick({0, 1}), std::nullopt);
+}
+
+TEST(BackendLedgerTest, ReportsDecideBetweenEqualServersOnly) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(2, 2), {}, Instant(0));
+  ledger.Report({"b0", 0, false});
+  EXPECT_EQ(ledger.Pick({}), BackendIndex{1});
+  ledger.Take(1);
+  EXPECT_EQ(ledger.Pick({}), BackendIndex{0});
+}
+
+TEST(BackendLedgerTest, NeverEjectsMoreThanTheConfiguredShare) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(6, 1), {}, Instant(0));
+  for (BackendIndex i = 0; i < 6; ++i) {
+    for (int failure = 0; failure < 5; ++failure) {
+      ledger.OnSilence(i, Instant(0));
+    }
+  }
+  EXPECT_EQ(ledger.usable_slots(), 4);
+}
+
+TEST(BackendLedgerTest, ServersAddedOrBackFromADrainAreCold) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(1, 8), {}, Instant(0));
+  EXPECT_EQ(ledger.usable_slots(), 8);
+  ledger.Update(Specs(2, 8), {"b0"}, Instant(1));
+  EXPECT_EQ(ledger.usable_slots(), 2);
+  ledger.Update(Specs(2, 8), {}, Instant(2));
+  EXPECT_EQ(ledger.usable_slots(), 4);
+}
+
+TEST(BackendLedgerTest, ReturnsEjectedServersCold) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(3, 8), {}, Instant(0));
+  for (int failure = 0; failure < 3; ++failure) {
+    ledger.OnSilence(0, Instant(0));
+  }
+  EXPECT_EQ(ledger.usable_slots(), 16);
+  EXPECT_EQ(ledger.NextDue(), std::chrono::seconds(1));
+  ledger.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(ledger.usable_slots(), 18);
+}
+
+}  // namespace
+}  // namespace heatherlever
--- /dev/null
+++ b/src/libheatherlever/pool_order_test.cc
@@ -0,0 +1,188 @@
+// Differential test: the order in which a PoolQueue dispatches, against a
+// naive queue that scans everything.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "pool_test_driver.h"
+
+namespace heatherlever {
+namespace {
+
+// By rank, then by the caller that was served longest ago or, never served
+// since it came, came first, then by arrival. Kinds and ranks are the same.
+class NaiveQueue {
+ public:
+  void Push(RequestId id, Rank rank, const std::string& caller) {
+    const bool waits =
+        std::any_of(waiting_.begin(), waiting_.end(), [&](const Waiting& each) {
+          return each.rank == rank && each.caller == caller;
+        });
+    if (!waits) {
+      place_[{rank, caller}] = {turn_[rank] + 1, ++last_place_};
+    }
+    waiting_.push_back({id, rank, caller});
+  }
+
+  RequestId Pop() {
+    const auto next =
+        std::min_element(waiting_.begin(), waiting_.end(),
+                         [this](const Waiting& left, const Waiting& right) {
+                           return KeyOf(left) < KeyOf(right);
+                         });
+    const Waiting popped = *next;
+    waiting_.erase(next);
+    Place& place = place_[{popped.rank, popped.caller}];
+    turn_[popped.rank] = place.first;
+    place = {place.first + 1, ++last_place_};
+    return popped.id;
+  }
+
+  bool empty() const { return waiting_.empty(); }
+
+ private:
+  using Place = std::pair<int, int>;
+  struct Waiting {
+    RequestId id = 0;
+    Rank rank = Rank::kThird;
+    std::string caller;
+  };
+
+  std::tuple<Rank, Place, RequestId> KeyOf(const Waiting& waiting) {
+    return {waiting.rank, place_[{waiting.rank, waiting.caller}], waiting.id};
+  }
+
+  std::vector<Waiting> waiting_;
+  std::map<std::pair<Rank, std::string>, Place> place_;
+  std::map<Rank, int> turn_;
+  int last_place_ = 0;
+};
+
+PoolRequest RandomRequest(PoolTestDriver& driver, int number) {
+  static const std::vector<std::string> kinds = {"first", "second", "third"};
+  const int rank = number % 3;
+  PoolRequest request = driver.Request(kinds[static_cast<std::size_t>(rank)],
+                                       static_cast<Rank>(rank));
+  request.caller = std::to_string(number / 3 % 4);
+  request.deadline = driver.now + std::chrono::hours(1);
+  return request;
+}
+
+RC_GTEST_PROP(PoolOrderProperty, EqualsANaiveQueue, ()) {
+  const auto numbers =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+  PoolOptions options;
+  options.hedge = false;
+  PoolTestDriver driver(options);
+  driver.SetBackends(1, 1, {});
+  NaiveQueue naive;
+  std::vector<RequestId> expected;
+  bool busy = false;
+  for (const int number : numbers) {
+    if (number % 5 < 3) {
+      const PoolRequest request = RandomRequest(driver, number);
+      naive.Push(request.id, request.rank, request.caller);
+      driver.Submit(request);
+    } else if (busy) {
+      driver.Done(driver.Open().front(), AttemptResult::kOk);
+      busy = false;
+    }
+    if (!busy && !naive.empty()) {
+      expected.push_back(naive.Pop());
+      busy = true;
+    }
+  }
+  RC_ASSERT(driver.order == expected);
+}
+
+// A pool of one server whose first and third ranks always have work waiting;
+// each request takes its slot for the same time.
+class FloodedPool {
+ public:
+  FloodedPool(int slots, double floor)
+      : slots_(slots), floor_(floor), pool_(*PoolQueue::Create({}, 1)) {
+    BackendSpec spec;
+    spec.name = "b0";
+    spec.slots = slots;
+    pool_->SetBackends({spec}, {}, now_);
+  }
+
+  void Run(int answers) {
+    for (int i = 0; i < answers; ++i) {
+      Refill();
+      now_ += kService / slots_;
+      pool_->AttemptDone(running_.front(), AttemptResult::kOk, now_);
+      running_.pop_front();
+      Collect();
+    }
+  }
+
+  /// Share of the dispatches that the third rank got.
+  double third_share() const { return third_ / (first_ + third_); }
+
+ private:
+  static constexpr Duration kService = std::chrono::milliseconds(40);
+  static constexpr std::size_t kWaiting = 20;
+
+  void Refill() {
+    for (const Rank rank : {Rank::kFirst, Rank::kThird}) {
+      const auto index = static_cast<std::size_t>(rank);
+      while (pool_->Summary().queued.at(index) < kWaiting) {
+        Submit(rank);
+      }
+    }
+  }
+
+  void Submit(Rank rank) {
+    PoolRequest request;
+    request.id = ++last_id_;
+    request.kind = std::string(RankName(rank));
+    request.rank = rank;
+    request.caller = "caller";
+    request.floor_share = rank == Rank::kThird ? floor_ : 0;
+    request.deadline = now_ + std::chrono::hours(1);
+    request.service_time = kService;
+    ranks_[request.id] = rank;
+    pool_->Submit(request, now_);
+    Collect();
+  }
+
+  void Collect() {
+    for (const PoolAction& action : pool_->TakeActions()) {
+      if (const auto* dispatch = std::get_if<DispatchAction>(&action)) {
+        running_.push_back(dispatch->attempt);
+        (ranks_.at(dispatch->id) == Rank::kThird ? third_ : first_) += 1;
+      }
+    }
+  }
+
+  int slots_;
+  double floor_;
+  std::unique_ptr<PoolQueue> pool_;
+  Instant now_ = std::chrono::seconds(1);
+  RequestId last_id_ = 0;
+  std::map<RequestId, Rank> ranks_;
+  std::deque<AttemptId> running_;
+  double first_ = 0;
+  double third_ = 0;
+};
+
+RC_GTEST_PROP(PoolOrderProperty, FloorsHoldUnderAnyFlood, ()) {
+  const double floor = *rc::gen::inRange(5, 50) / 100.0;
+  const int slots = *rc::gen::inRange(1, 12);
+  FloodedPool pool(slots, floor);
+  pool.Run(2000);
+  RC_ASSERT(pool.third_share() > 0.9 * floor);
+  RC_ASSERT(pool.third_share() < 1.1 * floor);
+}
+
+}  // namespace
+}  // namespace heatherlever
