Probe returned servers with one idempotent request at a time

Cause: a silent server back from its ejection got a part of its slots' worth of any work, and non-idempotent work lost there ends as unknown. Ruled out: never probing with non-idempotent work, as a pool may have no other; it is allowed 5 s after the ejection's end.

--- a/src/heather-bench-decisions/fake_backend.cc
+++ b/src/heather-bench-decisions/fake_backend.cc
@@ -25,7 +25,9 @@
   behaviour.crowded_above = slots;
 }
 
-void FakeBackend::Send(std::uint64_t attempt, Instant deadline, Answer answer) {
+void FakeBackend::Send(std::uint64_t attempt,
+                       Instant deadline,
+                       const Answer& answer) {
   last_sent_ = events_.now();
   open_.insert(attempt);
   peak_over_slots_ =
--- a/src/heather-bench-decisions/fake_backend.h
+++ b/src/heather-bench-decisions/fake_backend.h
@@ -47,7 +47,7 @@
   /// is dead when it should answer.
   void Send(std::uint64_t attempt,
             heatherlever::Instant deadline,
-            Answer answer);
+            const Answer& answer);
 
   /// Asks to cancel a request; the answer is then kCancelled if it still ran.
   void Cancel(std::uint64_t attempt);
--- a/src/libheatherlever/backend_health.cc
+++ b/src/libheatherlever/backend_health.cc
@@ -13,6 +13,9 @@
 
 constexpr int kMaxDoublings = 16;
 
+// Pools without idempotent work have to probe with other work in the end.
+constexpr Duration kIdempotentOnly = std::chrono::seconds(5);
+
 }  // namespace
 
 BackendHealth::BackendHealth(const PoolOptions& options) : options_(options) {}
@@ -25,6 +28,8 @@
   ++answers_;
   latency_ += (latency - latency_) / std::min(answers_, kSmoothing);
   failures_in_row_ = 0;
+  on_probation_ = false;
+  idempotent_only_ = false;
   if (answers_ >= kForgiveAnswers) {
     ejections_ = 0;
   }
@@ -53,10 +58,15 @@
   ejected_until_ = now + std::min(backoff, options_.max_ejection);
   ++ejections_;
   ejected_ = true;
+  on_probation_ = false;
+  idempotent_only_ = false;
 }
 
-void BackendHealth::Return() {
+void BackendHealth::Return(Instant now) {
   ejected_ = false;
+  on_probation_ = true;
+  idempotent_only_ = true;
+  idempotent_only_until_ = now + kIdempotentOnly;
   answers_ = 0;
   latency_ = Duration(0);
   failures_in_row_ = options_.eject_after_failures - 1;
--- a/src/libheatherlever/backend_health.h
+++ b/src/libheatherlever/backend_health.h
@@ -16,6 +16,12 @@
   /// Whether enough answers were seen to compare the latency.
   bool has_latency() const;
   bool ejected() const { return ejected_; }
+  /// Whether it is back from an ejection and has not answered since: it gets
+  /// one request at a time.
+  bool on_probation() const { return on_probation_; }
+  /// Whether it gets idempotent work only, until `idempotent_only_until`.
+  bool idempotent_only() const { return idempotent_only_; }
+  Instant idempotent_only_until() const { return idempotent_only_until_; }
   /// End of the present ejection.
   Instant ejected_until() const { return ejected_until_; }
 
@@ -30,7 +36,9 @@
   /// Ejects the server: each time for twice as long, until it has run well.
   void Eject(Instant now);
   /// Ends the ejection. The next failure in a row ejects again.
-  void Return();
+  void Return(Instant now);
+  /// Lets the server have non-idempotent work on probation.
+  void AllowAnyWork() { idempotent_only_ = false; }
 
  private:
   const PoolOptions& options_;
@@ -40,6 +48,9 @@
   int ejections_ = 0;
   bool ejected_ = false;
   Instant ejected_until_{0};
+  bool on_probation_ = false;
+  bool idempotent_only_ = false;
+  Instant idempotent_only_until_{0};
 };
 
 }  // namespace heatherlever
--- a/src/libheatherlever/backend_ledger.cc
+++ b/src/libheatherlever/backend_ledger.cc
@@ -79,11 +79,13 @@
 }
 
 std::optional<BackendIndex> BackendLedger::Pick(
-    const std::vector<BackendIndex>& excluded) {
+    const std::vector<BackendIndex>& excluded,
+    bool idempotent) {
   std::optional<BackendIndex> best;
   std::uint64_t ties = 1;
   for (BackendIndex i = 0; i < states_.size(); ++i) {
-    if (states_[i].free() == 0 || Contains(excluded, i)) {
+    if (states_[i].free() == 0 || !states_[i].Accepts(idempotent) ||
+        Contains(excluded, i)) {
       continue;
     }
     const int order = best ? Compare(states_[i], states_[*best]) : 1;
@@ -158,9 +160,13 @@
       state.foreign = 0;
     }
     if (state.health.ejected() && state.health.ejected_until() <= now) {
-      state.health.Return();
+      state.health.Return(now);
       state.limit.Restart(options_.cold_share, now);
     }
+    if (state.health.idempotent_only() &&
+        state.health.idempotent_only_until() <= now) {
+      state.health.AllowAnyWork();
+    }
   }
 }
 
@@ -176,6 +182,9 @@
     if (state.health.ejected()) {
       consider(state.health.ejected_until());
     }
+    if (state.health.idempotent_only()) {
+      consider(state.health.idempotent_only_until());
+    }
   }
   return next;
 }
--- a/src/libheatherlever/backend_ledger.h
+++ b/src/libheatherlever/backend_ledger.h
@@ -42,8 +42,9 @@
   void Report(const BackendReport& report);
 
   /// The active server with the most free slots, but for those in `excluded`;
-  /// nothing if none has a free slot.
-  std::optional<BackendIndex> Pick(const std::vector<BackendIndex>& excluded);
+  /// nothing if none has a free slot for the work.
+  std::optional<BackendIndex> Pick(const std::vector<BackendIndex>& excluded,
+                                   bool idempotent);
 
   /// Whether any listed server outside `excluded` may take work, now or later.
   bool HasOther(const std::vector<BackendIndex>& excluded) const;
--- a/src/libheatherlever/backend_ledger_test.cc
+++ b/src/libheatherlever/backend_ledger_test.cc
@@ -19,9 +19,9 @@
   BackendLedger ledger(options, 1);
   ledger.Update(Specs(2, 2), {}, Instant(0));
   ledger.Take(0);
-  EXPECT_EQ(ledger.Pick({}), BackendIndex{1});
-  EXPECT_EQ(ledger.Pick({1}), BackendIndex{0});
-  EXPECT_EQ(ledger.Pick({0, 1}), std::nullopt);
+  EXPECT_EQ(ledger.Pick({}, false), BackendIndex{1});
+  EXPECT_EQ(ledger.Pick({1}, false), BackendIndex{0});
+  EXPECT_EQ(ledger.Pick({0, 1}, false), std::nullopt);
 }
 
 TEST(BackendLedgerTest, ReportsDecideBetweenEqualServersOnly) {
@@ -29,9 +29,9 @@
   BackendLedger ledger(options, 1);
   ledger.Update(Specs(2, 2), {}, Instant(0));
   ledger.Report({"b0", 0, false});
-  EXPECT_EQ(ledger.Pick({}), BackendIndex{1});
+  EXPECT_EQ(ledger.Pick({}, false), BackendIndex{1});
   ledger.Take(1);
-  EXPECT_EQ(ledger.Pick({}), BackendIndex{0});
+  EXPECT_EQ(ledger.Pick({}, false), BackendIndex{0});
 }
 
 TEST(BackendLedgerTest, NeverEjectsMoreThanTheConfiguredShare) {
@@ -67,7 +67,25 @@
   EXPECT_EQ(ledger.usable_slots(), 16);
   EXPECT_EQ(ledger.NextDue(), std::chrono::seconds(1));
   ledger.Advance(std::chrono::seconds(1));
-  EXPECT_EQ(ledger.usable_slots(), 18);
+  EXPECT_EQ(ledger.usable_slots(), 17);
+}
+
+TEST(BackendLedgerTest, ProbesReturnedServersWithIdempotentWork) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(3, 8), {}, Instant(0));
+  for (int failure = 0; failure < 3; ++failure) {
+    ledger.OnSilence(0, Instant(0));
+  }
+  ledger.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(ledger.Pick({1, 2}, false), std::nullopt);
+  EXPECT_EQ(ledger.Pick({1, 2}, true), BackendIndex{0});
+  EXPECT_EQ(ledger.NextDue(), std::chrono::seconds(6));
+  ledger.Advance(std::chrono::seconds(6));
+  EXPECT_EQ(ledger.Pick({1, 2}, false), BackendIndex{0});
+  ledger.OnResult(0, AttemptResult::kOk, std::chrono::milliseconds(40),
+                  std::chrono::seconds(6));
+  EXPECT_GT(ledger.usable_slots(), 17);
 }
 
 }  // namespace
--- a/src/libheatherlever/backend_state.h
+++ b/src/libheatherlever/backend_state.h
@@ -37,7 +37,16 @@
   /// Whether it takes new work.
   bool active() const { return listed && !draining && !health.ejected(); }
   /// Slots that may be used; 0 if it takes no new work.
-  int usable() const { return active() ? limit.limit() : 0; }
+  int usable() const {
+    if (!active()) {
+      return 0;
+    }
+    return health.on_probation() ? 1 : limit.limit();
+  }
+  /// Whether a free slot may be given to the work.
+  bool Accepts(bool idempotent) const {
+    return idempotent || !health.idempotent_only();
+  }
   int taken() const { return in_flight + foreign; }
   /// Slots that a new request may have.
   int free() const { return usable() > taken() ? usable() - taken() : 0; }
--- a/src/libheatherlever/pool_dispatch.cc
+++ b/src/libheatherlever/pool_dispatch.cc
@@ -40,7 +40,8 @@
       FinishJob(job, OutcomeNow(job), FinishReason::kDeadline);
       continue;
     }
-    if (const std::optional<BackendIndex> backend = ledger_.Pick(job.tried)) {
+    if (const std::optional<BackendIndex> backend =
+            ledger_.Pick(job.tried, job.idempotent)) {
       kind.retries.erase(place);
       StartAttempt(job, *backend, now);
       return true;
@@ -51,6 +52,10 @@
 }
 
 bool PoolEngine::DispatchReady(KindQueue& kind, Instant now) {
+  const std::optional<BackendIndex> backend = ledger_.Pick({}, kind.idempotent);
+  if (!backend) {
+    return false;
+  }
   const bool overloaded = options_.queue_order == QueueOrder::kAdaptiveLifo &&
                           kind.OverloadedFor(options_.overload_after, now);
   while (const std::optional<JobId> next =
@@ -61,7 +66,7 @@
       FinishJob(job, OutcomeNow(job), FinishReason::kDeadline);
       continue;
     }
-    StartAttempt(job, *ledger_.Pick({}), now);
+    StartAttempt(job, *backend, now);
     return true;
   }
   return false;
@@ -97,7 +102,7 @@
   if (!allowed) {
     return;
   }
-  const std::optional<BackendIndex> backend = ledger_.Pick(job.tried);
+  const std::optional<BackendIndex> backend = ledger_.Pick(job.tried, true);
   if (backend && budget_.Withdraw()) {
     StartAttempt(job, *backend, now);
     return;
