--- a/src/heather-scenario/models.cc
+++ b/src/heather-scenario/models.cc
@@ -5,6 +5,7 @@
 
 #include "heather-scenario/placement_model.h"
 #include "heather-scenario/membership_model.h"
+#include "heather-scenario/pool_model.h"
 #include "heather-scenario/rank_model.h"
 #include "heather-scenario/scenario_error.h"
 #include "heather-scenario/scenario_model.h"
@@ -16,6 +17,7 @@
   static const std::map<std::string, Factory> factories = {
       {"placement", MakePlacementModel},
       {"membership", MakeMembershipModel},
+      {"pool", MakePoolModel},
       {"rank", MakeRankModel},
   };
   const auto found = factories.find(name);
