Let equal parts of headroom add up to all of it

Cause: without a lender a host could have floor(free / 22) requests in a pool, its own included: 36 free slots gave 1 each, 21 gave none.

--- a/src/heather-bench-placement/policy.cc
+++ b/src/heather-bench-placement/policy.cc
@@ -56,8 +56,10 @@
  private:
   static Placement Make(const heatherlever::DeploymentSpec& spec,
                         std::size_t host) {
+    heatherlever::PlacementOptions options;
+    options.headroom_sender_index = static_cast<int>(host);
     auto placement = Placement::Create(
-        spec, spec.regions[RegionOfHost(host)].name, MakeBlocks(spec), {});
+        spec, spec.regions[RegionOfHost(host)].name, MakeBlocks(spec), options);
     if (!placement.ok()) {
       throw std::logic_error(placement.status().ToString());
     }
--- a/src/include/heatherlever/placement_options.h
+++ b/src/include/heatherlever/placement_options.h
@@ -15,6 +15,10 @@
   /// Hosts that may send to the same pool at the same time. Divides headroom
   /// that the pool's owner has not divided itself.
   int headroom_senders = 22;
+  /// This host's place among those, from 0: decides who gets what rounding the
+  /// parts leaves. Differs from host to host, such as the place of its name in
+  /// the epoch.
+  int headroom_sender_index = 0;
   /// Window over which the shift caps count.
   Duration cap_window = std::chrono::seconds(60);
   /// A summary counts in full up to this age, and then less and less.
