--- a/src/heather-entry/caller_server.cc
+++ b/src/heather-entry/caller_server.cc
@@ -13,9 +13,11 @@
 
 #include "heather-entry/caller_service.h"
 #include "heather-entry/connection_threads.h"
+#include "heather-entry/entry_metrics.h"
 #include "heather-entry/entry_settings.h"
 #include "heatherlever/ipv4.h"
 #include "heatherlever/nearest_word.h"
+#include "heathernet/event_loop.h"
 
 namespace heather_entry {
 namespace {
@@ -147,8 +149,10 @@
 
 class CallerServer::Impl {
  public:
-  Impl(const EntrySettings& settings, CallerService& service)
-      : service_(service), name_(settings.name) {
+  Impl(const EntrySettings& settings,
+       CallerService& service,
+       EntryMetrics& metrics)
+      : service_(service), metrics_(metrics), name_(settings.name) {
     const auto threads = static_cast<std::size_t>(settings.caller_threads);
     server_.new_task_queue = [threads] {
       return new ConnectionThreads(threads);
@@ -265,7 +269,10 @@
                         "a Heather-Exchange-Id has at most 128 printable "
                         "characters without spaces");
     }
+    const auto arrived = heathernet::EventLoop::Now();
     const WorkAnswer answer = RunAndWait(work);
+    metrics_.OnAnswer(kind.name, answer,
+                      heathernet::EventLoop::Now() - arrived);
     response.set_header("Heather-Exchange-Id", work.exchange_id);
     SetAnswer(response, answer);
   }
@@ -316,6 +323,7 @@
   }
 
   CallerService& service_;
+  EntryMetrics& metrics_;
   const std::string name_;
   httplib::Server server_;
   std::thread thread_;
@@ -325,8 +333,9 @@
 };
 
 CallerServer::CallerServer(const EntrySettings& settings,
-                           CallerService& service)
-    : impl_(std::make_unique<Impl>(settings, service)) {}
+                           CallerService& service,
+                           EntryMetrics& metrics)
+    : impl_(std::make_unique<Impl>(settings, service, metrics)) {}
 
 CallerServer::~CallerServer() = default;
 
--- a/src/heather-entry/caller_server.h
+++ b/src/heather-entry/caller_server.h
@@ -8,14 +8,17 @@
 namespace heather_entry {
 
 class CallerService;
+class EntryMetrics;
 struct EntrySettings;
 
 /// The HTTP interface towards callers; docs/CALLERS.md describes it.
 class CallerServer {
  public:
   /// Listens on the callers' port of `settings`. Throws std::runtime_error if
-  /// that cannot be had. `service` has to outlive the server.
-  CallerServer(const EntrySettings& settings, CallerService& service);
+  /// that cannot be had. `service` and `metrics` have to outlive the server.
+  CallerServer(const EntrySettings& settings,
+               CallerService& service,
+               EntryMetrics& metrics);
 
   /// Stops and waits for the requests in progress.
   ~CallerServer();
--- a/src/heather-entry/entry_host.cc
+++ b/src/heather-entry/entry_host.cc
@@ -15,9 +15,11 @@
 #include "heather-entry/admin_server.h"
 #include "heather-entry/backend_client.h"
 #include "heather-entry/caller_server.h"
+#include "heather-entry/entry_metrics.h"
 #include "heather-entry/entry_settings.h"
 #include "heather-entry/gossip_codec.h"
 #include "heather-entry/membership_runner.h"
+#include "heather-entry/newest_state.h"
 #include "heather-entry/platform_agent.h"
 #include "heather-entry/router.h"
 #include "heatherlever/epoch_codec.h"
@@ -53,6 +55,9 @@
 constexpr std::size_t kConfigsKept = 4;
 
 constexpr char kMembershipPath[] = "/peer/membership";
+constexpr char kNewestPath[] = "/peer/newest";
+constexpr int kStatusOk = 200;
+constexpr heatherlever::Duration kSeedInterval = std::chrono::seconds(1);
 
 // Keys of the values that hosts spread among themselves.
 constexpr char kConfigKey[] = "config";
@@ -92,7 +97,7 @@
         backends_(settings.backend_threads, settings.connection_doubt),
         peers_(MakePeers(loop_, settings)),
         router_(loop_, *peers_, backends_, settings, incarnation_),
-        callers_(std::make_unique<CallerServer>(settings, router_)),
+        callers_(std::make_unique<CallerServer>(settings, router_, metrics_)),
         admin_(std::make_unique<AdminServer>(settings.address,
                                              settings.admin_port,
                                              MakeSources())),
@@ -102,23 +107,28 @@
                               const heathernet::PeerResponder& responder) {
       if (request.path == kMembershipPath) {
         membership_.OnPeerRequest(request, responder);
+      } else if (request.path == kNewestPath) {
+        responder.Respond({kStatusOk, {}, newest_.Encode()});
       } else {
         router_.OnPeerRequest(request, responder);
       }
     });
     membership_.Start();
     Refresh();
+    AskSeeds();
   }
 
   void Run() {
-    agent_->Start(
-        [this](const ConfigRecord& record) { PostConfig(record); },
-        [this](const EpochRecord& epoch, const ConfigRecord& record) {
-          PostEpoch(epoch, record);
-        },
-        [this](const std::vector<HostRecord>& hosts) {
-          loop_.Post([this, hosts] { membership_.OnHostList(hosts); });
-        });
+    agent_->Start([this](const ConfigRecord& record) { PostConfig(record); },
+                  [this](const EpochRecord& epoch, const ConfigRecord& record) {
+                    PostEpoch(epoch, record);
+                  },
+                  [this](const std::vector<HostRecord>& hosts) {
+                    loop_.Post([this, hosts] {
+                      list_read_ = true;
+                      membership_.OnHostList(hosts);
+                    });
+                  });
     loop_.Run();
     callers_.reset();
     agent_->Stop();
@@ -151,7 +161,7 @@
     sources.state = [this] {
       return OnLoop<std::string>([this] { return router_.DumpState(); });
     };
-    sources.metrics = [] { return std::string(); };
+    sources.metrics = [this] { return metrics_.Text(); };
     sources.explain = [this](const std::string& kind,
                              const std::string& address) {
       return OnLoop<std::vector<std::string>>([this, kind, address] {
@@ -229,6 +239,9 @@
     while (configs_.size() > kConfigsKept) {
       configs_.erase(configs_.begin());
     }
+    if (!newest_.config || newest_.config->version < record.version) {
+      newest_.config = record;
+    }
     router_.InstallConfig(*config);
     membership_.Publish({kConfigKey, static_cast<std::uint64_t>(record.version),
                          EncodeConfig(record), true});
@@ -246,6 +259,10 @@
     }
     waiting_epoch_.reset();
     router_.InstallEpoch(epoch, config->second);
+    newest_.epoch = epoch;
+    if (!list_read_) {
+      membership_.OnHostList(epoch.members);
+    }
     membership_.SetWatched(router_.JobPartners());
     membership_.Publish(
         {kEpochKey, epoch.number, heatherlever::EncodeEpoch(epoch), true});
@@ -268,6 +285,29 @@
     }
   }
 
+  // A host that starts while the platform does not answer learns from its
+  // peers what is in force.
+  void AskSeeds() {
+    if (newest_.epoch) {
+      return;
+    }
+    for (const heathernet::PeerAddress& seed : settings_.seeds) {
+      heathernet::PeerRequest request;
+      request.path = kNewestPath;
+      peers_->Call(seed, std::move(request),
+                   [this](const heathernet::PeerResult& result) {
+                     const auto newest = NewestState::Decode(result.body);
+                     if (newest.config) {
+                       TakeConfig(*newest.config);
+                     }
+                     if (newest.epoch) {
+                       TakeEpoch(*newest.epoch);
+                     }
+                   });
+    }
+    loop_.After(kSeedInterval, [this] { AskSeeds(); });
+  }
+
   void Refresh() {
     router_.Refresh();
     for (const auto& [pool, report] : router_.OwnHeadroom()) {
@@ -310,12 +350,15 @@
   BackendClient backends_;
   std::unique_ptr<heathernet::PeerTransport> peers_;
   Router router_;
+  EntryMetrics metrics_;
   std::unique_ptr<CallerServer> callers_;
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PlatformAgent> agent_;
   MembershipRunner membership_;
   std::map<std::int64_t, std::shared_ptr<const ActiveConfig>> configs_;
   std::optional<EpochRecord> waiting_epoch_;
+  NewestState newest_;
+  bool list_read_ = false;
   bool leaving_ = false;
   Instant stop_by_{0};
 };
--- a/src/heather-entry/entry_settings.cc
+++ b/src/heather-entry/entry_settings.cc
@@ -16,6 +16,15 @@
   return static_cast<std::uint16_t>(map.Number(key, 0, kMaxPort));
 }
 
+std::vector<heathernet::PeerAddress> Seeds(YamlMap& map) {
+  std::vector<heathernet::PeerAddress> seeds;
+  for (YamlMap& seed : map.Maps("seeds", "seed")) {
+    seeds.push_back({seed.Address("address"), Port(seed, "peer_port")});
+    seed.Finish();
+  }
+  return seeds;
+}
+
 EntrySettings Read(YamlMap& map) {
   using std::chrono::milliseconds;
   using std::chrono::seconds;
@@ -29,6 +38,7 @@
   settings.admin_port = Port(map, "admin_port");
   settings.platform_address = map.Address("platform_address");
   settings.platform_port = Port(map, "platform_port");
+  settings.seeds = Seeds(map);
   settings.poll_interval = map.TimeOr("poll_interval", milliseconds(1000));
   settings.caller_threads =
       static_cast<int>(map.NumberOr("caller_threads", 1, kMaxThreads, 1024));
--- a/src/heather-entry/entry_settings.h
+++ b/src/heather-entry/entry_settings.h
@@ -5,8 +5,10 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "heatherlever/instant.h"
+#include "heathernet/peer_address.h"
 
 namespace heather_entry {
 
@@ -26,6 +28,9 @@
   std::uint16_t admin_port = 0;
   std::string platform_address;
   std::uint16_t platform_port = 0;
+  /// Peer ports of other entry hosts. A host that starts while the platform
+  /// does not answer gets the configuration and the epoch from them.
+  std::vector<heathernet::PeerAddress> seeds;
   /// Time between two reads of the configuration and the epoch.
   heatherlever::Duration poll_interval{0};
   /// Threads that serve callers' connections, one each.
--- a/src/heather-scenario/models.cc
+++ b/src/heather-scenario/models.cc
@@ -3,8 +3,8 @@
 #include <functional>
 #include <map>
 
-#include "heather-scenario/placement_model.h"
 #include "heather-scenario/membership_model.h"
+#include "heather-scenario/placement_model.h"
 #include "heather-scenario/pool_model.h"
 #include "heather-scenario/rank_model.h"
 #include "heather-scenario/scenario_error.h"
--- /dev/null
+++ b/src/include/heathernet/latency_histogram.h
@@ -0,0 +1,43 @@
+#ifndef HEATHERNET_LATENCY_HISTOGRAM_H_
+#define HEATHERNET_LATENCY_HISTOGRAM_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "heatherlever/instant.h"
+
+namespace heathernet {
+
+/// A histogram of durations from 0.1 ms to 100 s, with five buckets a decade.
+class LatencyHistogram {
+ public:
+  /// Durations up to a limit, as the Prometheus text format counts them.
+  struct Bucket {
+    double limit_s = 0;
+    std::uint64_t count = 0;
+  };
+
+  LatencyHistogram();
+  ~LatencyHistogram();
+  LatencyHistogram(LatencyHistogram&&) noexcept;
+  LatencyHistogram& operator=(LatencyHistogram&&) noexcept;
+
+  void Record(heatherlever::Duration latency);
+
+  /// Buckets by limit, each with all durations up to it.
+  std::vector<Bucket> Cumulative() const;
+
+  std::uint64_t count() const;
+
+  /// Sum of all durations, in seconds.
+  double sum_s() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace heathernet
+
+#endif  // HEATHERNET_LATENCY_HISTOGRAM_H_
