Release the cancel function of an answered peer request

Cause: a function given to PeerResponder::OnCancel that holds the responder made a reference cycle, which nothing broke after the answer.

--- a/src/libheathernet/peer_server_connection.cc
+++ b/src/libheathernet/peer_server_connection.cc
@@ -219,6 +219,9 @@
   const Stream removed = Remove(found);
   if (error_code != NGHTTP2_NO_ERROR) {
     Cancel(removed);
+  } else if (const auto responder = removed.responder.lock()) {
+    // The function may hold the responder itself.
+    responder->on_cancel = nullptr;
   }
 }
 
--- a/src/libheathernet/peer_transport_test.cc
+++ b/src/libheathernet/peer_transport_test.cc
@@ -269,6 +269,17 @@
   EXPECT_EQ(server_->stats().requests_cancelled, 1U);
 }
 
+TEST_F(PeerTransportTest, AnsweredRequestReleasesItsCancelFunction) {
+  Start({});
+  const auto watched = std::make_shared<int>(0);
+  server_->SetHandler([&](const PeerRequest&, const PeerResponder& responder) {
+    responder.OnCancel([responder, watched] {});
+    responder.Respond({});
+  });
+  CallAndWait(server_->address(), Request("/any"));
+  RunUntil([&] { return watched.use_count() == 1; });
+}
+
 TEST_F(PeerTransportTest, CancelBeforeSendingIsNotSent) {
   Start({});
   PeerCall call = StartCall(server_->address(), Request("/echo"));
