Stop passing whole tables on to neighbors

The host that restarts within the window took the whole table by comparison and passed each record on to every neighbor.

A message of more than two messages' worth of news is now kept and not passed on; neighbors compare versions by themselves. Ruled out: not passing on anything that came by a comparison, which would slow single repairs down.

--- a/src/libheatherlever/membership.cc
+++ b/src/libheatherlever/membership.cc
@@ -21,6 +21,9 @@
 constexpr char kMemberPrefix = 'm';
 constexpr char kEntryPrefix = 'e';
 
+// News of more than this many full messages is not passed on.
+constexpr std::size_t kBulkMessages = 2;
+
 // A peer that has not sent a neighbor's probe for this many intervals no
 // longer counts this host as its neighbor.
 constexpr int kNeighborSilenceIntervals = 5;
@@ -98,9 +101,15 @@
   void SendUrgentNews();
 
   // News.
-  void TakeRecord(const MemberRecord& record, const std::string& source);
+  // Whether what was learned is passed on to the neighbors.
+  enum class Spread { kYes, kNo };
+  void TakeRecord(const MemberRecord& record,
+                  const std::string& source,
+                  Spread spread);
   void TakeOwnRecord(const MemberVersion& version);
-  void TakeEntry(const GossipEntry& entry, const std::string& source);
+  void TakeEntry(const GossipEntry& entry,
+                 const std::string& source,
+                 Spread spread);
   void TakeNews(const MembershipMessage& message);
   void SetOwnVersion(const MemberVersion& version);
   void AddNews(const std::string& key, MembershipMessage& message) const;
@@ -230,7 +239,8 @@
 }
 
 void Membership::Impl::TakeRecord(const MemberRecord& record,
-                                  const std::string& source) {
+                                  const std::string& source,
+                                  Spread spread) {
   if (record.id == self_.id) {
     TakeOwnRecord(record.version);
     return;
@@ -247,7 +257,9 @@
     }
     return;
   }
-  news_.Record(key, source);
+  if (spread == Spread::kYes) {
+    news_.Record(key, source);
+  }
   if (record.version.state == MemberState::kAlive) {
     prober_.OnEvidence(record.id, now_);
   }
@@ -278,10 +290,13 @@
 }
 
 void Membership::Impl::TakeEntry(const GossipEntry& entry,
-                                 const std::string& source) {
+                                 const std::string& source,
+                                 Spread spread) {
   const std::string key = EntryKey(entry.key);
   if (entries_.Merge(entry)) {
-    news_.Record(key, source);
+    if (spread == Spread::kYes) {
+      news_.Record(key, source);
+    }
     if (entry.urgent) {
       urgent_.insert(key);
     }
@@ -296,11 +311,17 @@
 }
 
 void Membership::Impl::TakeNews(const MembershipMessage& message) {
+  // A whole table comes to a host that has just started, or after a long cut.
+  // The neighbors know it already, or get it by their own comparison.
+  const std::size_t count = message.members.size() + message.entries.size();
+  const Spread spread = count > kBulkMessages * options_.max_news_per_message
+                            ? Spread::kNo
+                            : Spread::kYes;
   for (const MemberRecord& record : message.members) {
-    TakeRecord(record, message.sender);
+    TakeRecord(record, message.sender, spread);
   }
   for (const GossipEntry& entry : message.entries) {
-    TakeEntry(entry, message.sender);
+    TakeEntry(entry, message.sender, spread);
   }
 }
 
@@ -639,7 +660,7 @@
   }
   if (record.version.state == MemberState::kAlive) {
     record.version.state = MemberState::kSuspect;
-    TakeRecord(record, "");
+    TakeRecord(record, "", Spread::kYes);
   }
 }
 
@@ -654,7 +675,7 @@
   }
   for (MemberRecord& record : expired) {
     record.version.state = MemberState::kDead;
-    TakeRecord(record, "");
+    TakeRecord(record, "", Spread::kYes);
   }
 }
 
@@ -673,7 +694,7 @@
 MembershipActions Membership::Impl::Publish(const GossipEntry& entry,
                                             Instant now) {
   Begin(now);
-  TakeEntry(entry, "");
+  TakeEntry(entry, "", Spread::kYes);
   return End();
 }
 
--- a/src/libheatherlever/membership_test.cc
+++ b/src/libheatherlever/membership_test.cc
@@ -164,8 +164,8 @@
   EXPECT_EQ(StateOf(7, 0), MemberState::kSuspect);
 }
 
-TEST_F(MembershipTest, BothSidesOfAHealedCutComeTogether) {
-  Start(12);
+// Cuts region 0 off, heals the cut, and expects all to be alive to all.
+void ExpectCutHeals(MembershipFleet& fleet) {
   const auto every_pair = [&](auto apply) {
     for (int i = 0; i < 12; ++i) {
       for (int j = 0; j < 12; ++j) {
@@ -175,20 +175,47 @@
       }
     }
   };
-  every_pair([&](const auto& from, const auto& to) { fleet_.Cut(from, to); });
-  fleet_.RunFor(60 * kSecond);
-  EXPECT_EQ(StateOf(0, 1), MemberState::kDead);
-  EXPECT_EQ(StateOf(1, 0), MemberState::kDead);
-  EXPECT_EQ(StateOf(3, 0), MemberState::kAlive);
-  every_pair([&](const auto& from, const auto& to) { fleet_.Heal(from, to); });
-  fleet_.RunFor(60 * kSecond);
+  every_pair([&](const auto& from, const auto& to) { fleet.Cut(from, to); });
+  fleet.RunFor(60 * kSecond);
+  EXPECT_EQ(fleet.View(Name(1)).at(Name(0)), MemberState::kDead);
+  EXPECT_EQ(fleet.View(Name(0)).at(Name(1)), MemberState::kDead);
+  EXPECT_EQ(fleet.View(Name(0)).at(Name(3)), MemberState::kAlive);
+  every_pair([&](const auto& from, const auto& to) { fleet.Heal(from, to); });
+  fleet.RunFor(60 * kSecond);
   for (int observer = 0; observer < 12; ++observer) {
     for (int host = 0; host < 12; ++host) {
-      EXPECT_EQ(StateOf(host, observer), MemberState::kAlive);
+      EXPECT_EQ(fleet.View(Name(observer)).at(Name(host)), MemberState::kAlive);
     }
   }
 }
 
+TEST_F(MembershipTest, BothSidesOfAHealedCutComeTogether) {
+  Start(12);
+  ExpectCutHeals(fleet_);
+}
+
+TEST(MembershipBulkTest, BothSidesOfAHealedCutComeTogetherByComparison) {
+  MembershipOptions options;
+  options.max_news_per_message = 1;
+  MembershipFleet fleet(options, 1);
+  for (int i = 0; i < 12; ++i) {
+    AddHost(fleet, i);
+  }
+  fleet.DeliverList();
+  fleet.RunFor(30 * kSecond);
+  ExpectCutHeals(fleet);
+}
+
+TEST_F(MembershipTest, RestartedHostDoesNotPassTheTableOn) {
+  Start(100);
+  fleet_.ResetTraffic();
+  fleet_.Restart(Name(0));
+  fleet_.RunFor(20 * kSecond);
+  EXPECT_EQ(StateOf(99, 0), MemberState::kAlive);
+  EXPECT_LT(fleet_.traffic(Name(0)).bytes_sent,
+            2 * fleet_.traffic(Name(50)).bytes_sent);
+}
+
 TEST_F(MembershipTest, UrgentEntryIsEverywhereWithinASecond) {
   Start(20);
   fleet_.Publish(Name(3), {"config", 7, "digest", true});
