--- /dev/null
+++ b/src/heather-entry/entry_host.cc
@@ -0,0 +1,348 @@
+#include "heather-entry/entry_host.h"
+
+#include <spdlog/spdlog.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "heather-entry/active_config.h"
+#include "heather-entry/admin_server.h"
+#include "heather-entry/backend_client.h"
+#include "heather-entry/caller_server.h"
+#include "heather-entry/entry_settings.h"
+#include "heather-entry/gossip_codec.h"
+#include "heather-entry/membership_runner.h"
+#include "heather-entry/platform_agent.h"
+#include "heather-entry/router.h"
+#include "heatherlever/epoch_codec.h"
+#include "heatherlever/gossip_entry.h"
+#include "heatherlever/ipv4.h"
+#include "heathernet/event_loop.h"
+#include "heathernet/log.h"
+#include "heathernet/peer_options.h"
+#include "heathernet/peer_transport.h"
+
+namespace heather_entry {
+
+using heatherlever::ConfigRecord;
+using heatherlever::EpochRecord;
+using heatherlever::GossipEntry;
+using heatherlever::HostRecord;
+using heatherlever::Instant;
+using heathernet::EventLoop;
+using heathernet::PartLogger;
+
+namespace {
+
+// Between a host's announcement that it leaves and the end of its callers'
+// port: callers' cached look-ups and its peers' views are that old at most.
+constexpr heatherlever::Duration kLeaveNotice = std::chrono::seconds(1);
+constexpr heatherlever::Duration kIdleCheck = std::chrono::milliseconds(50);
+constexpr std::chrono::seconds kDumpTimeout(1);
+constexpr heatherlever::Duration kRefreshInterval =
+    std::chrono::milliseconds(250);
+constexpr std::int64_t kMicrosPerMilli = 1000;
+
+// The configuration in force, that of the epoch, and those just before.
+constexpr std::size_t kConfigsKept = 4;
+
+constexpr char kMembershipPath[] = "/peer/membership";
+
+// Keys of the values that hosts spread among themselves.
+constexpr char kConfigKey[] = "config";
+constexpr char kEpochKey[] = "epoch";
+
+// Differs at each start of the process and grows: milliseconds since 1970.
+std::uint64_t NewIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+template <typename T>
+T ValueOrThrow(absl::StatusOr<T> result) {
+  if (!result.ok()) {
+    throw std::runtime_error(std::string(result.status().message()));
+  }
+  return *std::move(result);
+}
+
+std::unique_ptr<heathernet::PeerTransport> MakePeers(
+    EventLoop& loop,
+    const EntrySettings& settings) {
+  heathernet::PeerOptions options;
+  options.address = settings.address;
+  options.port = settings.peer_port;
+  return ValueOrThrow(heathernet::PeerTransport::Create(loop, options));
+}
+
+}  // namespace
+
+class EntryHost::Impl {
+ public:
+  explicit Impl(const EntrySettings& settings)
+      : settings_(settings),
+        incarnation_(NewIncarnation()),
+        backends_(settings.backend_threads, settings.connection_doubt),
+        peers_(MakePeers(loop_, settings)),
+        router_(loop_, *peers_, backends_, settings, incarnation_),
+        callers_(std::make_unique<CallerServer>(settings, router_)),
+        admin_(std::make_unique<AdminServer>(settings.address,
+                                             settings.admin_port,
+                                             MakeSources())),
+        agent_(ValueOrThrow(PlatformAgent::Create(settings, Self()))),
+        membership_(loop_, *peers_, Self(), MakeMembershipEvents()) {
+    peers_->SetHandler([this](const heathernet::PeerRequest& request,
+                              const heathernet::PeerResponder& responder) {
+      if (request.path == kMembershipPath) {
+        membership_.OnPeerRequest(request, responder);
+      } else {
+        router_.OnPeerRequest(request, responder);
+      }
+    });
+    membership_.Start();
+    Refresh();
+  }
+
+  void Run() {
+    agent_->Start(
+        [this](const ConfigRecord& record) { PostConfig(record); },
+        [this](const EpochRecord& epoch, const ConfigRecord& record) {
+          PostEpoch(epoch, record);
+        },
+        [this](const std::vector<HostRecord>& hosts) {
+          loop_.Post([this, hosts] { membership_.OnHostList(hosts); });
+        });
+    loop_.Run();
+    callers_.reset();
+    agent_->Stop();
+    PartLogger("entry")->info("stopped");
+  }
+
+  void Shutdown() {
+    loop_.Post([this] { BeginShutdown(); });
+  }
+
+  std::uint16_t http_port() const { return callers_->port(); }
+  std::uint16_t peer_port() const { return peers_->address().port; }
+  std::uint16_t admin_port() const { return admin_->port(); }
+
+ private:
+  HostRecord Self() const {
+    HostRecord self;
+    self.name = settings_.name;
+    self.incarnation = incarnation_;
+    self.address = settings_.address;
+    self.http_port = callers_->port();
+    self.peer_port = peers_->address().port;
+    self.region = settings_.region;
+    self.domain = settings_.domain;
+    return self;
+  }
+
+  AdminServer::Sources MakeSources() {
+    AdminServer::Sources sources;
+    sources.state = [this] {
+      return OnLoop<std::string>([this] { return router_.DumpState(); });
+    };
+    sources.metrics = [] { return std::string(); };
+    sources.explain = [this](const std::string& kind,
+                             const std::string& address) {
+      return OnLoop<std::vector<std::string>>([this, kind, address] {
+        return router_.Explain(kind,
+                               heatherlever::ParseIpv4(address).value_or(0));
+      });
+    };
+    return sources;
+  }
+
+  // Runs `function` on the loop thread and returns its result; an empty one if
+  // the loop does not get to it in time.
+  template <typename T>
+  T OnLoop(std::function<T()> function) {
+    auto promise = std::make_shared<std::promise<T>>();
+    auto result = promise->get_future();
+    loop_.Post([promise, function = std::move(function)] {
+      promise->set_value(function());
+    });
+    if (result.wait_for(kDumpTimeout) != std::future_status::ready) {
+      return T();
+    }
+    return result.get();
+  }
+
+  MembershipRunner::Events MakeMembershipEvents() {
+    MembershipRunner::Events events;
+    events.member_changed = [this](const heatherlever::MemberRecord& record,
+                                   heatherlever::MemberState state) {
+      PartLogger("membership")
+          ->info("{} is {}", record.id, MemberStateName(state));
+      router_.OnMember(record, state);
+    };
+    events.entry_changed = [this](const GossipEntry& entry) {
+      OnGossip(entry);
+    };
+    events.own_pause = [this](heatherlever::Duration length) {
+      PartLogger("membership")
+          ->warn("this process stood still for {} ms",
+                 length.count() / kMicrosPerMilli);
+      router_.OnOwnPause();
+    };
+    events.superseded = [this] {
+      PartLogger("membership")->error("a later start of this host runs");
+      BeginShutdown();
+    };
+    return events;
+  }
+
+  // A configuration or an epoch that the store or a peer has. Both spread on to
+  // the peers, so that they reach every host while the store is down.
+  void PostConfig(const ConfigRecord& record) {
+    loop_.Post([this, record] { TakeConfig(record); });
+  }
+
+  void PostEpoch(const EpochRecord& epoch, const ConfigRecord& record) {
+    loop_.Post([this, epoch, record] {
+      TakeConfig(record);
+      TakeEpoch(epoch);
+    });
+  }
+
+  void TakeConfig(const ConfigRecord& record) {
+    if (configs_.count(record.version) != 0) {
+      return;
+    }
+    auto config = MakeActiveConfig(record);
+    if (!config.ok()) {
+      PartLogger("config")->error("version {} is not usable: {}",
+                                  record.version,
+                                  std::string(config.status().message()));
+      return;
+    }
+    configs_[record.version] = *config;
+    while (configs_.size() > kConfigsKept) {
+      configs_.erase(configs_.begin());
+    }
+    router_.InstallConfig(*config);
+    membership_.Publish({kConfigKey, static_cast<std::uint64_t>(record.version),
+                         EncodeConfig(record), true});
+    if (waiting_epoch_) {
+      TakeEpoch(EpochRecord(*waiting_epoch_));
+    }
+  }
+
+  // An epoch waits until the configuration that it names is known.
+  void TakeEpoch(const EpochRecord& epoch) {
+    const auto config = configs_.find(epoch.config_version);
+    if (config == configs_.end()) {
+      waiting_epoch_ = epoch;
+      return;
+    }
+    waiting_epoch_.reset();
+    router_.InstallEpoch(epoch, config->second);
+    membership_.SetWatched(router_.JobPartners());
+    membership_.Publish(
+        {kEpochKey, epoch.number, heatherlever::EncodeEpoch(epoch), true});
+  }
+
+  void OnGossip(const GossipEntry& entry) {
+    if (entry.key == kConfigKey) {
+      if (const auto record = DecodeConfig(entry.payload)) {
+        TakeConfig(*record);
+      }
+    } else if (entry.key == kEpochKey) {
+      const auto epoch = heatherlever::DecodeEpoch(entry.payload);
+      if (epoch.ok()) {
+        TakeEpoch(*epoch);
+      }
+    } else if (const auto pool = PoolOfKey(entry.key)) {
+      if (const auto report = DecodeHeadroom(entry.payload)) {
+        router_.OnHeadroom(*pool, *report);
+      }
+    }
+  }
+
+  void Refresh() {
+    router_.Refresh();
+    for (const auto& [pool, report] : router_.OwnHeadroom()) {
+      router_.OnHeadroom(pool, report);
+      membership_.Publish(
+          {PoolKey(pool), NewIncarnation(), EncodeHeadroom(report), false});
+    }
+    loop_.After(kRefreshInterval, [this] { Refresh(); });
+  }
+
+  void BeginShutdown() {
+    if (leaving_) {
+      return;
+    }
+    leaving_ = true;
+    PartLogger("entry")->info("leaving");
+    stop_by_ = EventLoop::Now() + settings_.shutdown_limit;
+    agent_->Leave();
+    membership_.AnnounceLeaving();
+    router_.Leave();
+    loop_.After(kLeaveNotice, [this] {
+      callers_->StopAccepting();
+      peers_->StopAccepting();
+      StopWhenIdle();
+    });
+  }
+
+  void StopWhenIdle() {
+    const bool idle = router_.idle() && callers_->in_progress() == 0;
+    if (idle || EventLoop::Now() >= stop_by_) {
+      loop_.Stop();
+      return;
+    }
+    loop_.After(kIdleCheck, [this] { StopWhenIdle(); });
+  }
+
+  const EntrySettings settings_;
+  const std::uint64_t incarnation_;
+  EventLoop loop_;
+  BackendClient backends_;
+  std::unique_ptr<heathernet::PeerTransport> peers_;
+  Router router_;
+  std::unique_ptr<CallerServer> callers_;
+  std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<PlatformAgent> agent_;
+  MembershipRunner membership_;
+  std::map<std::int64_t, std::shared_ptr<const ActiveConfig>> configs_;
+  std::optional<EpochRecord> waiting_epoch_;
+  bool leaving_ = false;
+  Instant stop_by_{0};
+};
+
+EntryHost::EntryHost(const EntrySettings& settings)
+    : impl_(std::make_unique<Impl>(settings)) {}
+
+EntryHost::~EntryHost() = default;
+
+void EntryHost::Run() {
+  impl_->Run();
+}
+
+void EntryHost::Shutdown() {
+  impl_->Shutdown();
+}
+
+std::uint16_t EntryHost::http_port() const {
+  return impl_->http_port();
+}
+
+std::uint16_t EntryHost::peer_port() const {
+  return impl_->peer_port();
+}
+
+std::uint16_t EntryHost::admin_port() const {
+  return impl_->admin_port();
+}
+
+}  // namespace heather_entry
--- a/src/heather-planner/main.cc
+++ b/src/heather-planner/main.cc
@@ -1,91 +1,62 @@
-// Keeps the membership epoch while it holds the planner's lease.
-
-#include <signal.h>
-#include <sodium.h>
-#include <spdlog/spdlog.h>
+// Keeps the membership epoch up to date. Any entry host may run it.
 
+#include <condition_variable>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
+#include <mutex>
+#include <random>
 #include <stdexcept>
 
 #include "heather-planner/planner.h"
 #include "heather-planner/planner_settings.h"
 #include "heathernet/log.h"
 #include "heathernet/platform_client.h"
+#include "heathernet/signal_waiter.h"
 
 namespace heather_planner {
 namespace {
 
+constexpr int kExitFailure = 1;
 constexpr int kExitBadInput = 2;
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    throw std::runtime_error("cannot read '" + path + "'");
+// Looks and plans until a signal asks for the end.
+int Serve(const PlannerSettings& settings) {
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool stopping = false;
+  heathernet::SignalWaiter signals([&] {
+    const std::lock_guard<std::mutex> lock(mutex);
+    stopping = true;
+    changed.notify_all();
+  });
+  auto client = heathernet::PlatformClient::Create(settings.platform);
+  if (!client.ok()) {
+    throw std::runtime_error(std::string(client.status().message()));
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-template <typename Value>
-Value Checked(absl::StatusOr<Value> value) {
-  if (!value.ok()) {
-    throw std::runtime_error(std::string(value.status().message()));
-  }
-  return *std::move(value);
-}
-
-// SIGTERM and SIGINT end the program, SIGUSR1 asks for a dump.
-sigset_t BlockSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGUSR1);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
-timespec ToTimespec(heatherlever::Duration duration) {
-  const auto seconds =
-      std::chrono::duration_cast<std::chrono::seconds>(duration);
-  return {seconds.count(),
-          std::chrono::nanoseconds(duration - seconds).count()};
-}
-
-void Run(Planner& planner, heatherlever::Duration poll_interval) {
-  const sigset_t signals = BlockSignals();
-  const timespec pause = ToTimespec(poll_interval);
-  while (true) {
+  Planner planner(settings, **client);
+  std::cout << "ready" << std::endl;
+  std::unique_lock<std::mutex> lock(mutex);
+  while (!stopping) {
+    lock.unlock();
     planner.Step();
-    const int signal = sigtimedwait(&signals, nullptr, &pause);
-    if (signal == SIGUSR1) {
-      std::cout << planner.Dump() << std::endl;
-    } else if (signal > 0) {
-      planner.Release();
-      return;
-    }
+    lock.lock();
+    changed.wait_for(lock, settings.interval, [&] { return stopping; });
   }
-}
-
-// Two processes of one host name must not be taken for each other, so each
-// has an incarnation.
-std::string NewIncarnation() {
-  return std::to_string(randombytes_random());
+  lock.unlock();
+  planner.Release();
+  return 0;
 }
 
 int Main(int argc, char** argv) {
   cxxopts::Options options(
       "heather-planner",
-      "Writes the membership epoch while it holds the planner's lease.\n"
-      "SIGTERM releases the lease and ends it; SIGUSR1 prints its state.\n\n"
-      "Example:\n  heather-planner --config planner.yaml\n");
+      "Writes the membership epoch that entry hosts follow.\n\n"
+      "Example:\n  heather-planner --config planner-1.yaml\n");
   auto add = options.add_options();
-  add("config", "settings, as YAML", cxxopts::value<std::string>());
-  add("verbose", "log at debug level");
+  add("config", "settings of this planner (YAML)",
+      cxxopts::value<std::string>());
+  add("check", "check the settings and exit");
+  add("verbose", "log at level debug");
   add("version", "print the version");
   add("help", "print this help");
   const auto parsed = options.parse(argc, argv);
@@ -98,19 +69,24 @@
     return 0;
   }
   if (parsed.count("config") == 0) {
-    throw std::runtime_error("--config is missing; see --help");
+    std::cerr << "heather-planner: --config FILE is missing; see --help\n";
+    return kExitBadInput;
   }
-  heathernet::SetLogLevel(parsed.count("verbose") != 0 ? "debug" : "info");
-  const std::string path = parsed["config"].as<std::string>();
-  PlannerSettings settings =
-      Checked(PlannerSettings::Parse(path, ReadFile(path)));
-  settings.lease.self = settings.name + "/" + NewIncarnation();
-  settings.platform.client_id = "planner/" + settings.lease.self;
-  const auto client =
-      Checked(heathernet::PlatformClient::Create(settings.platform));
-  Planner planner(settings, *client);
-  Run(planner, settings.poll_interval);
-  return 0;
+  const auto settings = LoadPlannerSettings(parsed["config"].as<std::string>());
+  if (!settings.ok()) {
+    std::cerr << "heather-planner: " << settings.status().message() << "\n";
+    return kExitBadInput;
+  }
+  if (parsed.count("check") != 0) {
+    return 0;
+  }
+  heathernet::SetLogLevel(parsed.count("verbose") != 0 ? "debug"
+                                                       : settings->log_level);
+  PlannerSettings own = *settings;
+  // Two processes of one name must not be taken for each other.
+  own.lease.self = own.name + "/" + std::to_string(std::random_device{}());
+  own.platform.client_id = "planner/" + own.lease.self;
+  return Serve(own);
 }
 
 }  // namespace
@@ -119,8 +95,11 @@
 int main(int argc, char** argv) {
   try {
     return heather_planner::Main(argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "heather-planner: " << error.what() << "; see --help\n";
+    return heather_planner::kExitBadInput;
   } catch (const std::exception& error) {
     std::cerr << "heather-planner: " << error.what() << "\n";
-    return heather_planner::kExitBadInput;
+    return heather_planner::kExitFailure;
   }
 }
--- a/src/heather-planner/planner.cc
+++ b/src/heather-planner/planner.cc
@@ -4,8 +4,11 @@
 
 #include <nlohmann/json.hpp>
 
-#include "heathernet/boot_clock.h"
+#include "heatherlever/config_record.h"
+#include "heatherlever/deployment_loader.h"
+#include "heatherlever/epoch_codec.h"
 #include "heathernet/config_store.h"
+#include "heathernet/event_loop.h"
 #include "heathernet/log.h"
 #include "heathernet/platform_client.h"
 #include "heathernet/platform_error.h"
@@ -15,7 +18,7 @@
 
 using heatherlever::EpochRecord;
 using heatherlever::LeaseRecord;
-using heathernet::BootTime;
+using heathernet::EventLoop;
 using heathernet::PlatformError;
 using heathernet::WriteStatus;
 
@@ -39,7 +42,7 @@
     : client_(client),
       log_(heathernet::PartLogger("planner")),
       lease_(settings.lease),
-      epochs_(settings.hysteresis) {}
+      epochs_(settings.missing_time) {}
 
 void Planner::Step() {
   try {
@@ -55,7 +58,7 @@
 }
 
 void Planner::Release() {
-  if (const auto write = lease_.Release(BootTime())) {
+  if (const auto write = lease_.Release(EventLoop::Now())) {
     WriteLease(*write);
     log_->info("lease released");
   }
@@ -65,19 +68,19 @@
   nlohmann::json dump = {{"lease", nlohmann::json::parse(lease_.Dump())},
                          {"holds_lease", holds_lease()}};
   if (epoch_) {
-    dump["epoch"] = nlohmann::json::parse(epoch_->Encode());
+    dump["epoch"] = nlohmann::json::parse(heatherlever::EncodeEpoch(*epoch_));
   }
   return dump.dump();
 }
 
 bool Planner::holds_lease() const {
-  return lease_.Holds(BootTime());
+  return lease_.Holds(EventLoop::Now());
 }
 
 void Planner::KeepLease() {
   ReadLease();
   const bool held = holds_lease();
-  if (const auto write = lease_.NextWrite(BootTime())) {
+  if (const auto write = lease_.NextWrite(EventLoop::Now())) {
     WriteLease(*write);
   }
   if (!held && holds_lease()) {
@@ -89,9 +92,9 @@
   const auto row = client_.Get(kLeaseKey);
   if (row) {
     lease_.Observed(Checked(LeaseRecord::Parse(row->value)), row->version,
-                    BootTime());
+                    EventLoop::Now());
   } else {
-    lease_.Observed(std::nullopt, heathernet::kAbsentVersion, BootTime());
+    lease_.Observed(std::nullopt, heathernet::kAbsentVersion, EventLoop::Now());
   }
 }
 
@@ -114,25 +117,40 @@
   const auto row = client_.Get(kEpochKey);
   epoch_.reset();
   if (row) {
-    epoch_ = Checked(EpochRecord::Parse(row->value));
+    epoch_ = Checked(heatherlever::DecodeEpoch(row->value));
   }
-  const auto config = heathernet::ConfigStore(client_).Newest();
-  const auto next = epochs_.Decide(BootTime(), epoch_, client_.HostList(),
-                                   config ? config->version : 0);
+  ReadConfig();
+  if (config_version_ == 0) {
+    return;
+  }
+  heatherlever::EpochInput input;
+  input.spec = &spec_;
+  input.config_version = config_version_;
+  input.hosts = client_.HostList();
+  const auto next = epochs_.Plan(epoch_, input, EventLoop::Now());
   if (next) {
     WriteEpoch(*next, row ? row->version : heathernet::kAbsentVersion);
   }
 }
 
+void Planner::ReadConfig() {
+  const auto newest = heathernet::ConfigStore(client_).Newest();
+  if (!newest || newest->version <= config_version_) {
+    return;
+  }
+  spec_ = Checked(heatherlever::LoadDeployment(newest->yaml, "config/current"));
+  config_version_ = newest->version;
+}
+
 void Planner::WriteEpoch(const EpochRecord& next, std::int64_t row_version) {
-  const auto token = lease_.Token(BootTime());
+  const auto token = lease_.Token(EventLoop::Now());
   if (!token) {
     return;
   }
   // The guard refuses the write if the lease changed hands after the check.
-  const heathernet::WriteResult result =
-      client_.CompareAndSwap(kEpochKey, row_version, next.Encode(), {},
-                             {{kLeaseKey, token->row_version}});
+  const heathernet::WriteResult result = client_.CompareAndSwap(
+      kEpochKey, row_version, heatherlever::EncodeEpoch(next), {},
+      {{kLeaseKey, token->row_version}});
   log_->info(
       "epoch {} with {} members: {}", next.number, next.members.size(),
       heathernet::kWriteStatusNames[static_cast<std::size_t>(result.status)]);
--- a/src/heather-planner/planner.h
+++ b/src/heather-planner/planner.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "heather-planner/planner_settings.h"
+#include "heatherlever/deployment_spec.h"
 #include "heatherlever/epoch_planner.h"
 #include "heatherlever/epoch_record.h"
 #include "heatherlever/lease.h"
@@ -44,6 +45,8 @@
   void ReadLease();
   void WriteLease(const heatherlever::LeaseWrite& write);
   void Plan();
+  // Takes a newer configuration, if there is one.
+  void ReadConfig();
   void WriteEpoch(const heatherlever::EpochRecord& next,
                   std::int64_t row_version);
 
@@ -52,6 +55,9 @@
   heatherlever::Lease lease_;
   heatherlever::EpochPlanner epochs_;
   std::optional<heatherlever::EpochRecord> epoch_;
+  // 0 before the first configuration.
+  std::int64_t config_version_ = 0;
+  heatherlever::DeploymentSpec spec_;
 };
 
 }  // namespace heather_planner
--- a/src/heather-planner/planner_settings.h
+++ b/src/heather-planner/planner_settings.h
@@ -11,24 +11,24 @@
 
 namespace heather_planner {
 
-/// Settings of one planner process, from a YAML file.
+/// Settings of a planner, from its YAML file; docs/CONFIGURATION.md lists the
+/// keys.
 struct PlannerSettings {
-  /// Name of the host that the planner runs on.
+  /// Unique among the planners.
   std::string name;
   heathernet::PlatformSettings platform;
   heatherlever::LeaseSettings lease;
-  /// How long the list of hosts has to differ from the epoch.
-  heatherlever::Duration hysteresis = std::chrono::seconds(5);
   /// Time between two looks at the platform.
-  heatherlever::Duration poll_interval = std::chrono::seconds(1);
-
-  /// Reads settings. `file` names the text in messages. InvalidArgument, with
-  /// file, line and what was expected, for an unknown key, a missing one or a
-  /// value of another type.
-  static absl::StatusOr<PlannerSettings> Parse(const std::string& file,
-                                               const std::string& yaml);
+  heatherlever::Duration interval{0};
+  /// A host has to be off the list this long before it leaves the epoch.
+  heatherlever::Duration missing_time{0};
+  std::string log_level;
 };
 
+/// Reads the settings. An InvalidArgument status names file, line, what was
+/// expected and what was found.
+absl::StatusOr<PlannerSettings> LoadPlannerSettings(const std::string& path);
+
 }  // namespace heather_planner
 
 #endif  // HEATHER_PLANNER_PLANNER_SETTINGS_H_
--- a/src/include/heatherlever/epoch_record.h
+++ b/src/include/heatherlever/epoch_record.h
@@ -1,32 +1,30 @@
 #ifndef HEATHERLEVER_EPOCH_RECORD_H_
 #define HEATHERLEVER_EPOCH_RECORD_H_
 
-#include <absl/status/statusor.h>
-
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "heatherlever/host_record.h"
+#include "heatherlever/pool_assignment.h"
 
 namespace heatherlever {
 
-/// A membership epoch as the platform's table keeps it at `epoch/current`.
+/// The membership of a deployment for a while, kept in the platform's table
+/// and replaced only by compare-and-swap. It decides who keeps the records of
+/// non-idempotent jobs, and who owns the pools.
 struct EpochRecord {
-  /// 1 for the first epoch, one more for each later one.
-  std::int64_t number = 0;
-  /// Configuration version that maps client blocks to home regions.
+  /// Grows by one with each record.
+  std::uint64_t number = 0;
+  /// Configuration whose client blocks give the home regions of jobs.
   std::int64_t config_version = 0;
-  /// Members by name; none is leaving.
   std::vector<HostRecord> members;
-
-  bool operator==(const EpochRecord&) const = default;
-
-  /// The record as JSON.
-  std::string Encode() const;
-
-  /// InvalidArgument for text that Encode does not produce.
-  static absl::StatusOr<EpochRecord> Parse(const std::string& text);
+  /// The region whose entry hosts keep the jobs of each home region: itself,
+  /// or another one while it has none.
+  std::map<std::string, std::string> acting_regions;
+  /// Home and buddy of the jobs of each pool.
+  std::vector<PoolAssignment> pools;
 };
 
 }  // namespace heatherlever
--- a/src/libheathernet/boot_clock.cc
+++ b/src/libheathernet/boot_clock.cc
@@ -1,15 +1,15 @@
-#include "heathernet/boot_clock.h"
+#include "boot_clock.h"
 
-#include <time.h>
+#include <ctime>
 
 namespace heathernet {
 
-heatherlever::Instant BootTime() {
+BootClock::time_point BootClock::now() {
   timespec time{};
   clock_gettime(CLOCK_BOOTTIME, &time);
-  return std::chrono::duration_cast<heatherlever::Instant>(
-      std::chrono::seconds(time.tv_sec) +
-      std::chrono::nanoseconds(time.tv_nsec));
+  const auto since_boot = std::chrono::seconds(time.tv_sec) +
+                          std::chrono::nanoseconds(time.tv_nsec);
+  return time_point(std::chrono::duration_cast<duration>(since_boot));
 }
 
 }  // namespace heathernet
