--- a/src/heather-bench-decisions/event_queue.cc
+++ b/src/heather-bench-decisions/event_queue.cc
@@ -7,7 +7,8 @@
 namespace heather_bench_decisions {
 
 void EventQueue::At(heatherlever::Instant at, Action action) {
-  events_.push({std::max(at, now_), next_sequence_++, std::move(action)});
+  events_.push_back({std::max(at, now_), next_sequence_++, std::move(action)});
+  std::push_heap(events_.begin(), events_.end(), Later());
 }
 
 void EventQueue::After(heatherlever::Duration delay, Action action) {
@@ -18,8 +19,9 @@
   if (events_.empty()) {
     return false;
   }
-  const Event event = events_.top();
-  events_.pop();
+  std::pop_heap(events_.begin(), events_.end(), Later());
+  const Event event = std::move(events_.back());
+  events_.pop_back();
   now_ = event.at;
   event.action();
   return true;
--- a/src/heather-bench-decisions/event_queue.h
+++ b/src/heather-bench-decisions/event_queue.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <queue>
 #include <vector>
 
 #include "heatherlever/instant.h"
@@ -37,7 +36,8 @@
 
   heatherlever::Instant now_{0};
   std::uint64_t next_sequence_ = 0;
-  std::priority_queue<Event, std::vector<Event>, Later> events_;
+  // A heap, earliest first.
+  std::vector<Event> events_;
 };
 
 }  // namespace heather_bench_decisions
--- a/src/heather-bench-decisions/main.cc
+++ b/src/heather-bench-decisions/main.cc
@@ -1,6 +1,8 @@
 // Simulates pools under load and faults, and compares policies.
 
+#include <atomic>
 #include <cxxopts.hpp>
+#include <future>
 #include <iostream>
 #include <stdexcept>
 #include <string>
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr int kExitBadInput = 2;
+constexpr int kThreads = 4;
 
 struct Selection {
   std::string deployment;
@@ -32,29 +35,57 @@
   return wanted.empty() || wanted == name;
 }
 
-std::vector<Row> RunGrid(const Selection& selection,
-                         const heatherlever::PoolOptions& options) {
-  std::vector<Row> all;
+struct Cell {
+  const Deployment* deployment = nullptr;
+  const Scenario* scenario = nullptr;
+  double load = 0;
+  PolicyFactory policy;
+};
+
+std::vector<Cell> Cells(const Selection& selection,
+                        const heatherlever::PoolOptions& options) {
+  std::vector<Cell> cells;
   for (const Deployment& deployment : Deployments()) {
     for (const Scenario& scenario : Scenarios()) {
       for (const double load : selection.loads) {
         for (const PolicyFactory& policy : Policies(options)) {
-          if (!Selected(selection.deployment, deployment.name) ||
-              !Selected(selection.scenario, scenario.name) ||
-              !Selected(selection.policy, policy.name)) {
-            continue;
+          if (Selected(selection.deployment, deployment.name) &&
+              Selected(selection.scenario, scenario.name) &&
+              Selected(selection.policy, policy.name)) {
+            cells.push_back({&deployment, &scenario, load, policy});
           }
-          const std::vector<Row> rows =
-              RunRows(deployment, scenario, load, policy, selection.seed);
-          if (!selection.json) {
-            PrintRows(rows, std::cout);
-          }
-          all.insert(all.end(), rows.begin(), rows.end());
         }
       }
     }
   }
-  return all;
+  return cells;
+}
+
+// Runs the cells on a few threads; each is deterministic by itself.
+std::vector<Row> RunGrid(const Selection& selection,
+                         const heatherlever::PoolOptions& options) {
+  const std::vector<Cell> cells = Cells(selection, options);
+  std::vector<std::vector<Row>> results(cells.size());
+  std::atomic<std::size_t> next{0};
+  const auto work = [&] {
+    for (std::size_t i = next++; i < cells.size(); i = next++) {
+      const Cell& cell = cells[i];
+      results[i] = RunRows(*cell.deployment, *cell.scenario, cell.load,
+                           cell.policy, selection.seed);
+    }
+  };
+  std::vector<std::future<void>> threads;
+  for (int i = 0; i < kThreads; ++i) {
+    threads.push_back(std::async(std::launch::async, work));
+  }
+  std::vector<Row> rows;
+  for (std::future<void>& thread : threads) {
+    thread.get();
+  }
+  for (const std::vector<Row>& result : results) {
+    rows.insert(rows.end(), result.begin(), result.end());
+  }
+  return rows;
 }
 
 void PrintDecisionCost() {
@@ -118,14 +149,13 @@
   if (parsed.count("lifo") != 0) {
     pool_options.queue_order = heatherlever::QueueOrder::kAdaptiveLifo;
   }
-  if (!selection.json) {
-    PrintHeading(std::cout);
-  }
   const std::vector<Row> rows = RunGrid(selection, pool_options);
   if (selection.json) {
     PrintJson(rows, std::cout);
     return 0;
   }
+  PrintHeading(std::cout);
+  PrintRows(rows, std::cout);
   if (selection.whole()) {
     PrintTargets(rows, std::cout);
     PrintDecisionCost();
