--- a/src/libheatherlever/placement_test.cc
+++ b/src/libheatherlever/placement_test.cc
@@ -16,6 +16,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kRegionCount = 3;
+constexpr int kWestSlots = 50;
 const std::vector<std::string> kRegions = {"central", "west", "north"};
 
 // Addresses of clients whose home is the region of the same index.
@@ -256,7 +257,6 @@
 // Hosts that divide the same free slots by their number, while the pool serves
 // nobody else, never fill it beyond its slots.
 RC_GTEST_PROP(PlacementTest, EqualPartsTogetherNeverExceedThePool, ()) {
-  constexpr int slots = 50;
   const int hosts = *rc::gen::inRange(1, 8);
   std::vector<Placement> placements;
   std::vector<int> in_flight(static_cast<std::size_t>(hosts), 0);
@@ -270,7 +270,7 @@
   int used = 0;
   for (int step = 0; step < 40; ++step) {
     for (Placement& placement : placements) {
-      Summarize(&placement, "west", slots - used, Instant(step));
+      Summarize(&placement, "west", kWestSlots - used, Instant(step));
     }
     for (std::size_t i = 0; i < placements.size(); ++i) {
       for (int n = *rc::gen::inRange(0, in_flight[i] + 1); n > 0; --n) {
@@ -287,7 +287,7 @@
     for (const int count : in_flight) {
       used += count;
     }
-    RC_ASSERT(used <= slots);
+    RC_ASSERT(used <= kWestSlots);
   }
 }
 
