Let drained servers stop one after another; set headroom senders at run time

Cause: the entry host's steering took every server of a draining pool out at the start of the ramp, while placement still left most traffic there until its end. DrainPlan::TakesNewWork stops servers in step with the traffic. The number of senders and the host's place among them come with the epoch, after the configuration; SetHeadroomSenders takes them.

--- a/src/include/heatherlever/drain_plan.h
+++ b/src/include/heatherlever/drain_plan.h
@@ -31,6 +31,11 @@
   /// Whether a drain of the server has started.
   bool IsDraining(std::size_t backend, Duration unix_time) const;
 
+  /// Whether a server may get new work. Over a ramp the selected servers of a
+  /// pool stop one after another, in the order of the configuration, as their
+  /// traffic is moved away; the last stops at the end of the ramp.
+  bool TakesNewWork(std::size_t backend, Duration unix_time) const;
+
   /// Every pool of the configuration, drained or not, for
   /// Placement::SetDrainShare.
   std::vector<PoolDrain> Pools(Duration unix_time) const;
@@ -43,6 +48,8 @@
     Duration start{0};
     Duration ramp{0};
     std::vector<bool> backends;
+    // By backend server: the share of the drain at which it stops.
+    std::vector<double> stop_shares;
   };
 
   struct Backend {
@@ -50,6 +57,7 @@
     int slots = 0;
   };
 
+  std::vector<double> StopShares(const std::vector<bool>& selected) const;
   static double ShareOf(const Drain& drain, Duration unix_time);
 
   std::vector<Drain> drains_;
--- a/src/include/heatherlever/placement.h
+++ b/src/include/heatherlever/placement.h
@@ -74,10 +74,14 @@
                      std::string_view region,
                      double share);
 
+  /// Sets PlacementOptions::headroom_senders and headroom_sender_index, such as
+  /// after a change of the epoch's members.
+  void SetHeadroomSenders(int senders, int index);
+
   /// Takes over the state of the placement that this one replaces after a
   /// change of the configuration, matched by name: shift caps (a changed share
-  /// starts a new window), summaries, requests in flight, dead regions, drains
-  /// and link budgets. OnMoveDone and ChargeLink want the new indexes from then
+  /// starts a new window), summaries, requests in flight, dead regions, drains,
+  /// headroom senders and link budgets. OnMoveDone and ChargeLink want the new indexes from then
   /// on.
   void Adopt(const Placement& previous, Instant now);
 
--- a/src/libheatherlever/drain_plan.cc
+++ b/src/libheatherlever/drain_plan.cc
@@ -63,7 +63,9 @@
     const Duration start = drain.start_unix_s == 0
                                ? accepted
                                : std::chrono::seconds(drain.start_unix_s);
-    plan.drains_.push_back({start, drain.ramp, std::move(selected)});
+    std::vector<double> stop_shares = plan.StopShares(selected);
+    plan.drains_.push_back(
+        {start, drain.ramp, std::move(selected), std::move(stop_shares)});
   }
   return plan;
 }
@@ -84,6 +86,13 @@
   });
 }
 
+bool DrainPlan::TakesNewWork(std::size_t backend, Duration unix_time) const {
+  return std::none_of(drains_.begin(), drains_.end(), [&](const Drain& drain) {
+    return drain.backends[backend] &&
+           ShareOf(drain, unix_time) >= drain.stop_shares[backend];
+  });
+}
+
 std::vector<PoolDrain> DrainPlan::Pools(Duration unix_time) const {
   std::vector<PoolDrain> pools = pools_;
   std::vector<double> slots(pools.size(), 0);
@@ -112,6 +121,23 @@
   return next;
 }
 
+std::vector<double> DrainPlan::StopShares(
+    const std::vector<bool>& selected) const {
+  std::vector<int> counts(pools_.size(), 0);
+  for (std::size_t i = 0; i < selected.size(); ++i) {
+    counts[backends_[i].pool] += selected[i] ? 1 : 0;
+  }
+  std::vector<int> stopped(pools_.size(), 0);
+  std::vector<double> shares(selected.size(), 0);
+  for (std::size_t i = 0; i < selected.size(); ++i) {
+    const std::size_t pool = backends_[i].pool;
+    if (selected[i]) {
+      shares[i] = static_cast<double>(++stopped[pool]) / counts[pool];
+    }
+  }
+  return shares;
+}
+
 double DrainPlan::ShareOf(const Drain& drain, Duration unix_time) {
   if (unix_time < drain.start) {
     return 0;
--- a/src/libheatherlever/drain_plan_test.cc
+++ b/src/libheatherlever/drain_plan_test.cc
@@ -56,12 +56,31 @@
   EXPECT_EQ(pools[1].remaining_slots, 18);
 }
 
+TEST(DrainPlanTest, ServersStopOneAfterAnotherOverTheRamp) {
+  DeploymentSpec spec = MakeSpec();
+  spec.drains = {{"d", "region = central or name = westb", 100, seconds(40)}};
+  const DrainPlan plan = Make(spec);
+  const auto working = [&](Duration time) {
+    std::vector<bool> result;
+    for (std::size_t i = 0; i < spec.backends.size(); ++i) {
+      result.push_back(plan.TakesNewWork(i, time));
+    }
+    return result;
+  };
+  EXPECT_EQ(working(seconds(119)), (std::vector<bool>{1, 1, 1, 1}));
+  EXPECT_EQ(working(seconds(120)), (std::vector<bool>{0, 1, 1, 1}));
+  EXPECT_EQ(working(seconds(139)), (std::vector<bool>{0, 1, 1, 1}));
+  EXPECT_EQ(working(seconds(140)), (std::vector<bool>{0, 0, 1, 0}));
+}
+
 TEST(DrainPlanTest, ADomainDrainLeavesThePoolInPlace) {
   DeploymentSpec spec = MakeSpec();
   spec.drains = {{"d", "region = west and domain = a", 0, Duration(0)}};
   const DrainPlan plan = Make(spec);
   EXPECT_EQ(plan.Share(2, seconds(49)), 0);
   EXPECT_EQ(plan.Share(2, seconds(50)), 1);
+  EXPECT_TRUE(plan.TakesNewWork(2, seconds(49)));
+  EXPECT_FALSE(plan.TakesNewWork(2, seconds(50)));
   const auto pools = plan.Pools(seconds(50));
   EXPECT_EQ(pools[1].share, 0);
   EXPECT_EQ(pools[1].remaining_slots, 9);
--- a/src/libheatherlever/placement.cc
+++ b/src/libheatherlever/placement.cc
@@ -72,6 +72,10 @@
   state_->SetDrainShare(service, region, share);
 }
 
+void Placement::SetHeadroomSenders(int senders, int index) {
+  state_->SetHeadroomSenders(senders, index);
+}
+
 void Placement::Adopt(const Placement& previous, Instant now) {
   state_->Adopt(*previous.state_, now);
 }
--- a/src/libheatherlever/placement_state.cc
+++ b/src/libheatherlever/placement_state.cc
@@ -223,29 +223,49 @@
   }
 }
 
+void Placement::State::SetHeadroomSenders(int senders, int index) {
+  options_.headroom_senders = senders;
+  options_.headroom_sender_index = index;
+}
+
 void Placement::State::Adopt(const State& previous, Instant now) {
+  SetHeadroomSenders(previous.options_.headroom_senders,
+                     previous.options_.headroom_sender_index);
   for (std::size_t region = 0; region < regions_.size(); ++region) {
-    const auto old_region = previous.FindRegion(regions_[region]);
-    if (!old_region) {
-      continue;
+    if (const auto old_region = previous.FindRegion(regions_[region])) {
+      dead_[region] = previous.dead_[*old_region];
+      links_.Adopt(region, previous.links_, *old_region);
+      AdoptPools(region, previous, *old_region);
+      AdoptFlows(region, previous, *old_region, now);
+    }
+  }
+}
+
+void Placement::State::AdoptPools(std::size_t region,
+                                  const State& previous,
+                                  std::size_t old_region) {
+  for (std::size_t service = 0; service < services_.size(); ++service) {
+    if (const auto old = IndexOf(previous.services_, services_[service])) {
+      pools_[service * regions_.size() + region] =
+          previous.pools_[*old * previous.regions_.size() + old_region];
     }
-    dead_[region] = previous.dead_[*old_region];
-    links_.Adopt(region, previous.links_, *old_region);
-    for (std::size_t service = 0; service < services_.size(); ++service) {
-      if (const auto old = IndexOf(previous.services_, services_[service])) {
-        pools_[service * regions_.size() + region] =
-            previous.pools_[*old * previous.regions_.size() + *old_region];
-      }
+  }
+}
+
+void Placement::State::AdoptFlows(std::size_t region,
+                                  const State& previous,
+                                  std::size_t old_region,
+                                  Instant now) {
+  for (std::size_t kind = 0; kind < kinds_.size(); ++kind) {
+    const auto old = IndexOf(previous.kinds_, kinds_[kind]);
+    if (!old) {
+      continue;
     }
-    for (std::size_t kind = 0; kind < kinds_.size(); ++kind) {
-      if (const auto old = IndexOf(previous.kinds_, kinds_[kind])) {
-        FlowOf(kind, region) = previous.FlowOf(*old, *old_region);
-        ShiftCap& cap = FlowOf(kind, region).cap;
-        const double share = rules_.MaxShift(kind);
-        if (cap.share() != ShiftCap(share, options_.cap_window).share()) {
-          cap.ChangeShare(share, now);
-        }
-      }
+    Flow& flow = FlowOf(kind, region);
+    const double share = flow.cap.share();
+    flow = previous.FlowOf(*old, old_region);
+    if (flow.cap.share() != share) {
+      flow.cap.ChangeShare(share, now);
     }
   }
 }
--- a/src/libheatherlever/placement_state.h
+++ b/src/libheatherlever/placement_state.h
@@ -45,6 +45,7 @@
   void SetDrainShare(std::string_view service,
                      std::string_view region,
                      double share);
+  void SetHeadroomSenders(int senders, int index);
   void Adopt(const State& previous, Instant now);
   const std::string& region_name(std::size_t region) const;
   std::size_t HomeOf(std::uint32_t client_address) const;
@@ -100,6 +101,14 @@
                          PlacementExplanation* explanation,
                          Instant now) const;
 
+  void AdoptPools(std::size_t region,
+                  const State& previous,
+                  std::size_t old_region);
+  void AdoptFlows(std::size_t region,
+                  const State& previous,
+                  std::size_t old_region,
+                  Instant now);
+
   Pool& PoolOf(std::size_t kind, std::size_t region);
   const Pool& PoolOf(std::size_t kind, std::size_t region) const;
   Flow& FlowOf(std::size_t kind, std::size_t home);
--- a/src/libheatherlever/placement_test.cc
+++ b/src/libheatherlever/placement_test.cc
@@ -261,10 +261,8 @@
   std::vector<Placement> placements;
   std::vector<int> in_flight(static_cast<std::size_t>(hosts), 0);
   for (int i = 0; i < hosts; ++i) {
-    PlacementOptions options = PlainOptions();
-    options.headroom_senders = hosts;
-    options.headroom_sender_index = i;
-    placements.push_back(Make(MakeSpec(1), options));
+    placements.push_back(Make(MakeSpec(1), PlainOptions()));
+    placements.back().SetHeadroomSenders(hosts, i);
     placements.back().SetRegionDead("central", true);
   }
   int used = 0;
--- a/src/libheatherlever/pool_headroom.h
+++ b/src/libheatherlever/pool_headroom.h
@@ -28,9 +28,6 @@
 
   int in_flight() const { return in_flight_; }
 
-  /// Takes over the requests in flight and the state of the ramp.
-  void Adopt(const PoolHeadroom& previous) { *this = previous; }
-
  private:
   // What the summary alone allows.
   int Base(const PlacementOptions& options) const;
