--- a/src/heather-scenario/models.cc
+++ b/src/heather-scenario/models.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 
+#include "heather-scenario/jobs_model.h"
 #include "heather-scenario/membership_model.h"
 #include "heather-scenario/placement_model.h"
 #include "heather-scenario/pool_model.h"
@@ -15,9 +16,8 @@
 std::unique_ptr<ScenarioModel> MakeScenarioModel(const std::string& name) {
   using Factory = std::function<std::unique_ptr<ScenarioModel>()>;
   static const std::map<std::string, Factory> factories = {
-      {"placement", MakePlacementModel},
-      {"membership", MakeMembershipModel},
-      {"pool", MakePoolModel},
+      {"placement", MakePlacementModel}, {"membership", MakeMembershipModel},
+      {"pool", MakePoolModel},           {"jobs", MakeJobsModel},
       {"rank", MakeRankModel},
   };
   const auto found = factories.find(name);
