Serve peers until the end of a planned stop; give headroom senders their index

Cause found by shutdown_test: a leaving host refused its peers' streams after one second, so the homes of the next term could not fetch its jobs' records. It now refuses callers only. The test still fails (orders end as unknown between two stops): next.

--- a/src/heather-entry/entry_host.cc
+++ b/src/heather-entry/entry_host.cc
@@ -329,8 +329,9 @@
     membership_.AnnounceLeaving();
     router_.Leave();
     loop_.After(kLeaveNotice, [this] {
+      // Peers are still served: the homes that follow ask this host for the
+      // records of its jobs.
       callers_->StopAccepting();
-      peers_->StopAccepting();
       StopWhenIdle();
     });
   }
--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -97,7 +97,7 @@
     return;
   }
   directory_.InstallEpoch(epoch);
-  steering_.Refresh();
+  steering_.OnMembers(self_);
   jobs_.InstallEpoch();
   heathernet::PartLogger("epoch")->info("epoch {} is in force, {} members",
                                         epoch.number, epoch.members.size());
--- a/src/heather-entry/steering.cc
+++ b/src/heather-entry/steering.cc
@@ -130,6 +130,20 @@
                          EventLoop::Now());
 }
 
+void Steering::OnMembers(const std::string& self) {
+  const auto& members = directory_.epoch().members;
+  const auto own = std::find_if(members.begin(), members.end(),
+                                [&self](const heatherlever::HostRecord& host) {
+                                  return host.name == self;
+                                });
+  // A host that is no member yet sends nothing to other regions' pools.
+  if (placement_ && own != members.end()) {
+    placement_->SetHeadroomSenders(static_cast<int>(members.size()),
+                                   static_cast<int>(own - members.begin()));
+  }
+  Refresh();
+}
+
 void Steering::OnHeadroom(const PoolName& pool,
                           const heatherlever::HeadroomReport& report) {
   if (placement_) {
--- a/src/heather-entry/steering.h
+++ b/src/heather-entry/steering.h
@@ -50,6 +50,9 @@
   /// Places one request of a known kind, and counts it.
   PlacedWork Place(const WorkRequest& request);
 
+  /// The epoch's members have changed; `self` names this host.
+  void OnMembers(const std::string& self);
+
   void OnHeadroom(const PoolName& pool,
                   const heatherlever::HeadroomReport& report);
 
--- a/src/include/heatherlever/placement.h
+++ b/src/include/heatherlever/placement.h
@@ -81,8 +81,8 @@
   /// Takes over the state of the placement that this one replaces after a
   /// change of the configuration, matched by name: shift caps (a changed share
   /// starts a new window), summaries, requests in flight, dead regions, drains,
-  /// headroom senders and link budgets. OnMoveDone and ChargeLink want the new indexes from then
-  /// on.
+  /// headroom senders and link budgets. OnMoveDone and ChargeLink want the new
+  /// indexes from then on.
   void Adopt(const Placement& previous, Instant now);
 
   /// Name of a region by its index.
