Count an overdue attempt once against its server

Cause: while no slot was free to hedge, each look at the same overdue attempt counted as a failure, so that one long request could eject a healthy server. Ruled out: no longer looking again, as a slot to hedge may become free.

--- a/src/include/heatherlever/pool_action.h
+++ b/src/include/heatherlever/pool_action.h
@@ -22,7 +22,8 @@
 };
 
 /// Ask the backend server to cancel the attempt, and report by AttemptDone
-/// how that ended.
+/// how that ended: kCancelled only if the server confirmed it, kFailed if the
+/// connection was closed without its word, which is not held against it.
 struct CancelAttemptAction {
   AttemptId attempt = 0;
   std::string backend;
--- a/src/libheatherlever/pool_attempt.h
+++ b/src/libheatherlever/pool_attempt.h
@@ -21,6 +21,8 @@
   bool detached = false;
   /// Its result was counted into the server's health.
   bool reported = false;
+  /// It was overdue before, and so counted against a silent server.
+  bool overdue = false;
   /// The server was asked to cancel it.
   bool cancel_asked = false;
 };
--- a/src/libheatherlever/pool_engine.cc
+++ b/src/libheatherlever/pool_engine.cc
@@ -187,8 +187,9 @@
   if (found == attempts_.end() || found->second.detached) {
     return;
   }
-  const PoolAttempt attempt = found->second;
-  if (ledger_.answered_at(attempt.backend) < attempt.started) {
+  PoolAttempt& attempt = found->second;
+  const bool first_time = !std::exchange(attempt.overdue, true);
+  if (first_time && ledger_.answered_at(attempt.backend) < attempt.started) {
     ledger_.OnSilence(attempt.backend, now);
   }
   if (options_.hedge) {
--- a/src/libheatherlever/pool_queue_test.cc
+++ b/src/libheatherlever/pool_queue_test.cc
@@ -153,6 +153,25 @@
   EXPECT_TRUE(driver.attempts.at(1).cancel_asked);
 }
 
+TEST(PoolQueueTest, OneLongAttemptDoesNotEjectItsServer) {
+  PoolTestDriver driver;
+  driver.SetBackends(3, 1, {});
+  for (int i = 0; i < 3; ++i) {
+    driver.Submit(driver.Request("a", Rank::kSecond));
+  }
+  // Overdue after 160 ms and again every 40 ms, as no slot is free to hedge.
+  driver.Advance(milliseconds(155));
+  driver.Done(1, AttemptResult::kOk);
+  driver.Done(2, AttemptResult::kOk);
+  for (int i = 0; i < 2; ++i) {
+    PoolRequest busy = driver.Request("b", Rank::kFirst);
+    busy.idempotent = false;
+    driver.Submit(busy);
+  }
+  driver.Advance(milliseconds(150));
+  EXPECT_EQ(driver.pool->Summary().ejected_servers, 0);
+}
+
 TEST(PoolQueueTest, UnconfirmedSlotStaysTakenThroughQuarantine) {
   PoolTestDriver driver;
   driver.SetBackends(1, 1, {});
