Let new servers take the places of those that left

Cause: the ledger kept every server that it had ever seen, so that an owner's memory and each choice of a server grew with every replaced host. Ruled out: erasing places, as attempts name their server by its place.

--- a/src/libheatherlever/backend_health.cc
+++ b/src/libheatherlever/backend_health.cc
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-BackendHealth::BackendHealth(const PoolOptions& options) : options_(options) {}
+BackendHealth::BackendHealth(const PoolOptions& options) : options_(&options) {}
 
 bool BackendHealth::has_latency() const {
   return answers_ >= kMinAnswers;
@@ -43,10 +43,10 @@
   if (ejected_) {
     return false;
   }
-  if (failures_in_row_ >= options_.eject_after_failures) {
+  if (failures_in_row_ >= options_->eject_after_failures) {
     return true;
   }
-  const double slow = options_.eject_latency_multiple *
+  const double slow = options_->eject_latency_multiple *
                       static_cast<double>(median_latency.count());
   return has_latency() && median_latency > Duration(0) &&
          static_cast<double>(latency_.count()) > slow;
@@ -54,8 +54,8 @@
 
 void BackendHealth::Eject(Instant now) {
   const Duration backoff =
-      options_.ejection * (1 << std::min(ejections_, kMaxDoublings));
-  ejected_until_ = now + std::min(backoff, options_.max_ejection);
+      options_->ejection * (1 << std::min(ejections_, kMaxDoublings));
+  ejected_until_ = now + std::min(backoff, options_->max_ejection);
   ++ejections_;
   ejected_ = true;
   on_probation_ = false;
@@ -69,7 +69,7 @@
   idempotent_only_until_ = now + kIdempotentOnly;
   answers_ = 0;
   latency_ = Duration(0);
-  failures_in_row_ = options_.eject_after_failures - 1;
+  failures_in_row_ = options_->eject_after_failures - 1;
 }
 
 }  // namespace heatherlever
--- a/src/libheatherlever/backend_health.h
+++ b/src/libheatherlever/backend_health.h
@@ -41,7 +41,7 @@
   void AllowAnyWork() { idempotent_only_ = false; }
 
  private:
-  const PoolOptions& options_;
+  const PoolOptions* options_;
   Duration latency_{0};
   int answers_ = 0;
   int failures_in_row_ = 0;
--- a/src/libheatherlever/backend_ledger.cc
+++ b/src/libheatherlever/backend_ledger.cc
@@ -205,17 +205,33 @@
   return sum;
 }
 
-// Servers that left are kept, as their attempts and their history matter if
-// they return; configuration bounds their number.
+// A new server takes the place of one that left and holds no slot any more, so
+// that replacing servers for months takes no memory.
 BackendState& BackendLedger::StateOf(const BackendSpec& spec, bool* added) {
-  const auto [found, inserted] =
-      by_name_.try_emplace(spec.name, states_.size());
-  *added = inserted;
-  if (inserted) {
-    states_.emplace_back(options_, spec.name, spec.slots);
-    answered_.emplace_back(0);
+  const auto found = by_name_.find(spec.name);
+  *added = found == by_name_.end();
+  if (!*added) {
+    return states_[found->second];
   }
-  return states_[found->second];
+  const BackendIndex index = VacantPlace();
+  by_name_[spec.name] = index;
+  states_[index] = BackendState(options_, spec.name, spec.slots);
+  answered_[index] = Instant(0);
+  return states_[index];
+}
+
+BackendIndex BackendLedger::VacantPlace() {
+  const auto vacant = std::find_if(states_.begin(), states_.end(),
+                                   [](const BackendState& state) {
+                                     return !state.listed && state.taken() == 0;
+                                   });
+  if (vacant != states_.end()) {
+    by_name_.erase(vacant->name);
+    return static_cast<BackendIndex>(vacant - states_.begin());
+  }
+  states_.emplace_back(options_, "", 0);
+  answered_.emplace_back(0);
+  return states_.size() - 1;
 }
 
 Duration BackendLedger::MedianLatency() {
--- a/src/libheatherlever/backend_ledger_test.cc
+++ b/src/libheatherlever/backend_ledger_test.cc
@@ -57,6 +57,22 @@
   EXPECT_EQ(ledger.usable_slots(), 4);
 }
 
+TEST(BackendLedgerTest, ReplacedServersLeaveNothingBehind) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(2, 2), {}, Instant(0));
+  ledger.Take(0);
+  for (int i = 0; i < 100; ++i) {
+    std::vector<BackendSpec> specs = Specs(1, 2);
+    specs[0].name = std::string("new").append(std::to_string(i));
+    ledger.Update(specs, {}, Instant(i));
+  }
+  // One that still runs a request, one that left last, and the newest.
+  EXPECT_EQ(ledger.states().size(), 3U);
+  EXPECT_EQ(ledger.at(0).name, "b0");
+  EXPECT_EQ(ledger.at(0).in_flight, 1);
+}
+
 TEST(BackendLedgerTest, ReturnsEjectedServersCold) {
   const PoolOptions options;
   BackendLedger ledger(options, 1);
--- a/src/libheatherlever/concurrency_limit.h
+++ b/src/libheatherlever/concurrency_limit.h
@@ -31,7 +31,7 @@
   void OnShed(Instant now);
 
  private:
-  const PoolOptions& options_;
+  const PoolOptions* options_;
   int slots_;
   double limit_;
   Instant next_step_{0};
