--- a/src/include/heatherlever/job_ledger_options.h
+++ b/src/include/heatherlever/job_ledger_options.h
@@ -26,7 +26,7 @@
   HostId self;
   /// Keys remembered in all pools together. One eighth more is kept free for
   /// refusing jobs truthfully.
-  std::size_t max_records = 100000;
+  std::size_t max_records = 20000;
   /// Largest answer that is remembered, in bytes.
   std::size_t max_answer_bytes = 16384;
   /// Time after which an unanswered message is sent again.
--- a/src/include/heatherlever/pool_assignment.h
+++ b/src/include/heatherlever/pool_assignment.h
@@ -37,6 +37,9 @@
 /// buddy. Any two quorums share a member.
 bool IsQuorum(std::size_t count, std::uint32_t mask);
 
+/// The bit of a host in masks of the term's members; 0 if it is none.
+std::uint32_t MemberBit(const PoolTerm& term, const HostId& host);
+
 }  // namespace heatherlever
 
 #endif  // HEATHERLEVER_POOL_ASSIGNMENT_H_
--- a/src/libheatherlever/job_replica.h
+++ b/src/libheatherlever/job_replica.h
@@ -94,36 +94,42 @@
   std::string Dump(Instant now) const;
 
  private:
-  // job_replica.cc: views, take-over and seeding.
+  // job_replica.cc: views.
   void Depose(JobContext& context);
   void CheckPromises(JobContext& context);
-  void StartTakeOver(const PoolTerm& target, JobContext& context);
-  void CheckTakeOver(JobContext& context);
-  bool CanOnlyGuess(const JobContext& context) const;
-  void StartSeeding(JobContext& context);
   void Lead(JobContext& context);
   void StepDown(const HostId& successor, JobContext& context);
   void AdvanceView(std::uint64_t view, JobContext& context);
   bool Accepts(const HostId& from,
                const JobMessage& message,
                JobContext& context);
+  void OnDepose(const HostId& from, JobContext& context);
+  void OnReport(const HostId& from,
+                const JobMessage& message,
+                const JobReport& report,
+                JobContext& context);
+  void OnRefusal(const JobMessage& message,
+                 const JobRefusal& refusal,
+                 JobContext& context);
+
+  // job_replica_take_over.cc: reports, take-over and seeding.
+  void StartTakeOver(const PoolTerm& target, JobContext& context);
+  void CheckTakeOver(JobContext& context);
+  bool CanOnlyGuess(const JobContext& context) const;
+  void StartSeeding(JobContext& context);
   void MergeReport(const HostId& from,
                    std::uint64_t term,
                    std::uint64_t view,
                    const JobReport& report,
                    JobContext& context);
+  std::vector<JobRequest> Release(const HostId& owner,
+                                  std::uint64_t term,
+                                  std::uint64_t view,
+                                  const std::map<JobKey, JobAttempt>& listed);
   bool IsReleased(const JobRecord& record) const;
   void TakeUncertainty(Duration uncertain, JobContext& context);
-  void OnDepose(const HostId& from, JobContext& context);
-  void OnReport(const HostId& from,
-                const JobMessage& message,
-                const JobReport& report,
-                JobContext& context);
   void OnSeed(const HostId& from, const JobSeed& seed, JobContext& context);
   void OnSeedAck(const HostId& from, JobContext& context);
-  void OnRefusal(const JobMessage& message,
-                 const JobRefusal& refusal,
-                 JobContext& context);
 
   // job_replica_jobs.cc: requests, intents and outcomes.
   void Handle(const JobRequest& request, JobContext& context);
--- a/src/libheatherlever/pool_assignment.cc
+++ b/src/libheatherlever/pool_assignment.cc
@@ -1,5 +1,6 @@
 #include "heatherlever/pool_assignment.h"
 
+#include <algorithm>
 #include <bit>
 
 namespace heatherlever {
@@ -17,4 +18,12 @@
   return static_cast<std::size_t>(std::popcount(mask)) * 2 > count;
 }
 
+std::uint32_t MemberBit(const PoolTerm& term, const HostId& host) {
+  const auto found = std::find(term.members.begin(), term.members.end(), host);
+  if (found == term.members.end()) {
+    return 0;
+  }
+  return 1U << (found - term.members.begin());
+}
+
 }  // namespace heatherlever
