--- a/src/libheatherlever/job_ledger.cc
+++ b/src/libheatherlever/job_ledger.cc
@@ -258,60 +258,10 @@
   DeliverToSelf(now);
 }
 
-std::optional<Instant> JobLedger::NextWakeup() const {
-  std::optional<Instant> next;
-  for (const auto& [pool, replicas] : replicas_) {
-    for (const auto& [term, replica] : replicas) {
-      const std::optional<Instant> wakeup = replica.NextWakeup();
-      if (wakeup && (!next || *wakeup < *next)) {
-        next = wakeup;
-      }
-    }
-  }
-  return next;
-}
-
 std::vector<JobAction> JobLedger::TakeActions() {
   return std::exchange(actions_, {});
 }
 
-std::optional<HostId> JobLedger::Leader(const std::string& pool) const {
-  const auto known = assignments_.find(pool);
-  if (known == assignments_.end()) {
-    return std::nullopt;
-  }
-  const auto& [number, newest] = *known->second.rbegin();
-  const auto replicas = replicas_.find(pool);
-  if (replicas != replicas_.end()) {
-    const auto replica = replicas->second.find(number);
-    if (replica != replicas->second.end()) {
-      return replica->second.Leader();
-    }
-  }
-  return newest.term.members.front();
-}
-
-bool JobLedger::HasDispatchedJobs() const {
-  for (const auto& [pool, replicas] : replicas_) {
-    for (const auto& [term, replica] : replicas) {
-      if (replica.HasDispatchedJobs()) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
-std::size_t JobLedger::record_count() const {
-  std::size_t count = 0;
-  for (const auto& [pool, replicas] : replicas_) {
-    for (const auto& [term, replica] : replicas) {
-      count += replica.table().entries().size();
-    }
-  }
-  return count;
-}
-
 // The replica of the newest term known; null if this host is no member of it.
 JobReplica* JobLedger::NewestReplica(const std::string& pool) {
   const auto known = assignments_.find(pool);
