--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -69,8 +69,7 @@
       });
   jobs_.SetRedirect(
       [this](const WorkRequest& request, const std::string& host, Done done) {
-        SendJob(request, host, false, EventLoop::Now() + request.remaining,
-                std::move(done));
+        SendJob(request, host, std::move(done));
       });
 }
 
@@ -278,21 +277,17 @@
 }
 
 void Router::RouteJob(const WorkRequest& request, Done done) {
-  const std::string home = jobs_.Home(JobPool(request));
-  if (home.empty()) {
-    done(Unknown("no-home"));
-    return;
-  }
-  if (home == self_) {
-    RunJob(request, false, std::move(done));
-    return;
-  }
-  SendJob(request, home, false, EventLoop::Now() + request.remaining,
-          std::move(done));
+  SendJob(request, jobs_.Home(JobPool(request)), std::move(done));
 }
 
-std::string Router::BuddyOf(const PoolName& pool,
-                            const std::string& home) const {
+// The host that is believed to be the home first, then the members of the
+// pool's term.
+std::vector<std::string> Router::JobHosts(const PoolName& pool,
+                                          const std::string& home) const {
+  std::vector<std::string> hosts;
+  if (directory_.Find(home)) {
+    hosts.push_back(home);
+  }
   for (const heatherlever::PoolAssignment& assignment :
        directory_.epoch().pools) {
     if (assignment.pool != pool.Text()) {
@@ -300,50 +295,57 @@
     }
     for (const heatherlever::HostId& member : assignment.term.members) {
       if (member.name != home) {
-        return member.name;
+        hosts.push_back(member.name);
       }
     }
   }
-  return "";
+  return hosts;
 }
 
 void Router::SendJob(const WorkRequest& request,
-                     const std::string& host,
-                     bool depose,
-                     Instant deadline,
+                     const std::string& home,
                      Done done) {
-  const auto to = directory_.Find(host);
-  WorkRequest sent = request;
-  sent.remaining = deadline - EventLoop::Now();
-  if (!to || sent.remaining <= Duration(0)) {
-    done(Unknown("home-unreachable"));
+  auto trip = std::make_shared<JobTrip>();
+  trip->request = request;
+  trip->deadline = EventLoop::Now() + request.remaining;
+  trip->hosts = JobHosts(JobPool(request), home);
+  trip->done = std::move(done);
+  TryNextJobHost(trip);
+}
+
+// A host after the first one is told that those before it could not be reached,
+// so that it deposes the home.
+void Router::TryNextJobHost(const std::shared_ptr<JobTrip>& trip) {
+  trip->request.remaining = trip->deadline - EventLoop::Now();
+  if (trip->next >= trip->hosts.size() ||
+      trip->request.remaining <= Duration(0)) {
+    trip->done(Unknown("home-unreachable"));
+    return;
+  }
+  const bool depose = trip->next > 0;
+  const std::string name = trip->hosts[trip->next++];
+  if (name == self_) {
+    RunJob(trip->request, depose, trip->done);
     return;
   }
-  auto message = EncodeWork(sent, kJobPath);
+  const auto host = directory_.Find(name);
+  if (!host) {
+    TryNextJobHost(trip);
+    return;
+  }
+  auto message = EncodeWork(trip->request, kJobPath);
   if (depose) {
     message.headers[kDepose] = "1";
   }
-  Forward(*to, std::move(message), sent.exchange_id,
-          [this, sent, host, depose, deadline,
-           done = std::move(done)](const PeerResult& result) {
+  Forward(*host, std::move(message), trip->request.exchange_id,
+          [this, trip, name](const PeerResult& result) {
             if (const auto answer = DecodeAnswer(result)) {
-              directory_.ReportHeard(host);
-              done(*answer);
-              return;
-            }
-            directory_.ReportSilent(host, EventLoop::Now());
-            const std::string buddy = BuddyOf(JobPool(sent), host);
-            if (depose || buddy.empty()) {
-              done(Unknown("home-unreachable"));
-              return;
-            }
-            if (buddy == self_) {
-              WorkRequest here = sent;
-              here.remaining = deadline - EventLoop::Now();
-              RunJob(here, true, done);
+              directory_.ReportHeard(name);
+              trip->done(*answer);
               return;
             }
-            SendJob(sent, buddy, true, deadline, done);
+            directory_.ReportSilent(name, EventLoop::Now());
+            TryNextJobHost(trip);
           });
 }
 
--- a/src/heather-entry/router.h
+++ b/src/heather-entry/router.h
@@ -111,6 +111,15 @@
     Done done;
   };
 
+  // A job on its way to its home or buddy.
+  struct JobTrip {
+    WorkRequest request;
+    heatherlever::Instant deadline{0};
+    std::vector<std::string> hosts;
+    std::size_t next = 0;
+    Done done;
+  };
+
   std::shared_ptr<const ActiveConfig> config() const;
   void Route(const WorkRequest& request, Done done);
   void RouteIdempotent(const WorkRequest& request, Done done);
@@ -123,12 +132,11 @@
   void TryNextOwner(const std::shared_ptr<PoolTrip>& trip);
   void RunInPool(const WorkRequest& request, const PoolName& pool, Done done);
   void RunJob(const WorkRequest& request, bool depose, Done done);
-  // Sends a job to the pool's home or, with `depose`, to its buddy.
-  void SendJob(const WorkRequest& request,
-               const std::string& host,
-               bool depose,
-               heatherlever::Instant deadline,
-               Done done);
+  // Sends a job to its home, or to the other members of its pool's term.
+  void SendJob(const WorkRequest& request, const std::string& home, Done done);
+  void TryNextJobHost(const std::shared_ptr<JobTrip>& trip);
+  std::vector<std::string> JobHosts(const PoolName& pool,
+                                    const std::string& home) const;
   JobPlace PlaceJob(const WorkRequest& request);
   // Sends a job that this host has the right to dispatch to the owner of a
   // pool, once.
@@ -138,7 +146,6 @@
   // Makes the pools that this host owns, so that their headroom is known.
   void MakeOwnPools();
   PoolName JobPool(const WorkRequest& request) const;
-  std::string BuddyOf(const PoolName& pool, const std::string& home) const;
   std::string LookUpOnLoop(const std::string& kind,
                            std::uint32_t client_address) const;
 
--- a/src/heather-entry/steering.cc
+++ b/src/heather-entry/steering.cc
@@ -168,7 +168,7 @@
   }
   std::set<std::string> draining;
   for (std::size_t i = 0; i < config_->spec.backends.size(); ++i) {
-    if (drains_->IsDraining(i, now)) {
+    if (!drains_->TakesNewWork(i, now)) {
       draining.insert(config_->spec.backends[i].name);
     }
   }
--- a/testsuite/process/shutdown_test.py
+++ b/testsuite/process/shutdown_test.py
@@ -1,5 +1,6 @@
 """Planned stops cut no request, and drained backend servers get no new work."""
 
+import collections
 import time
 import unittest
 
@@ -25,7 +26,7 @@
                     deployment.wait_ready(deployment.entries.values(), 4)
                 time.sleep(PHASE_S)
             for callers in (orders, readings):
-                print("told:", callers.counts(), flush=True)
+                print("told:", callers.counts(), collections.Counter(told.reason for told in callers.told), flush=True)
                 cut = [told for told in callers.told if told.outcome == "unknown"]
                 self.assertEqual([], cut, "requests that a planned stop cut")
             check_at_most_once(self, deployment, orders)
