--- a/src/heather-bench-decisions/main.cc
+++ b/src/heather-bench-decisions/main.cc
@@ -75,6 +75,7 @@
     }
   };
   std::vector<std::future<void>> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.push_back(std::async(std::launch::async, work));
   }
