Test caps, leases, static stability and silent links; see the checks fail on a naive caller

Cause: the process tests covered orders and configuration only, and no run had shown that their checks can fail. That showed one check to be blind: the stand-in's swapped answer kept the key of the request, so that passing it on was not seen; it now loses the key.

--- a/src/heather-standin/backend_server.cc
+++ b/src/heather-standin/backend_server.cc
@@ -201,15 +201,17 @@
     return;
   }
   std::string shown_exchange = exchange;
+  std::string shown_key = request.get_header_value(kKeyHeader);
   if (swap_next_.Strike()) {
     const std::string other = exchanges_.OtherExchange(exchange);
     shown_exchange = other.empty() ? "other-" + exchange : other;
+    shown_key = "";
     response.headers.erase(kExchangeHeader);
     response.set_header(kExchangeHeader, shown_exchange);
   }
   std::string body = Json{
       {"exchange", shown_exchange},
-      {"key", request.get_header_value(kKeyHeader)},
+      {"key", shown_key},
       {"kind", request.matches[1].str()},
       {"backend",
        options_.name}}.dump();
--- a/testsuite/harness/heather_harness.py
+++ b/testsuite/harness/heather_harness.py
@@ -161,11 +161,20 @@
     def platform_stats(self):
         return http_json("127.0.0.1", self.platform_port, "GET", "/standin/stats")[2]
 
+    def deregister(self, name):
+        """Takes a dead host off the platform's list, as the platform's own checks would."""
+        http_json("127.0.0.1", self.platform_port, "PUT", f"/v1/agent/service/deregister/{name}")
+
     def start_backends(self, name, count, slots, service_ms=40, port=0, *options):
         return self.start(name, [
             self.program("heather-standin"), "--role", "backend", "--name", name, "--count", str(count), "--slots",
             str(slots), "--service-ms", str(service_ms), "--port", str(port), *options])
 
+    def start_relay(self, name, port):
+        """A relay to a port of 127.0.0.1; its ports are the one to connect to and the one for its faults."""
+        return self.start(name, [
+            self.program("heather-standin"), "--role", "relay", "--listen", "127.0.0.1:0", "--to", f"127.0.0.1:{port}"])
+
     @staticmethod
     def backend_get(port, path):
         return http_json("127.0.0.1", port, "GET", path)[2]
--- a/testsuite/harness/load.py
+++ b/testsuite/harness/load.py
@@ -7,18 +7,20 @@
 
 from small_deployment import CALLER
 
-Told = collections.namedtuple("Told", "key status outcome reason")
+Told = collections.namedtuple("Told", "key status outcome reason backend retry_after", defaults=("", ""))
 
 
 class Callers:
     """Sends orders or readings from several threads until stopped."""
 
-    def __init__(self, deployment, kind="orders", threads=8, seed=1, region="west", retries=0, pause_s=0.01):
+    def __init__(self, deployment, kind="orders", threads=8, seed=1, region="west", retries=0, pause_s=0.01,
+                 deadline_ms=None):
         self.deployment = deployment
         self.kind = kind
         self.region = region
         self.retries = retries
         self.pause_s = pause_s
+        self.headers = {"Heather_Deadline_Ms": deadline_ms} if deadline_ms else {}
         self.told = []
         self.broken = []
         self._lock = threading.Lock()
@@ -56,7 +58,8 @@
         entry = generator.choice(list(self.deployment.entries.values()))
         try:
             status, headers, body = self.deployment.work(
-                entry, self.kind, "body-" + key, key if self.kind == "orders" else None, CALLER[self.region])
+                entry, self.kind, "body-" + key, key if self.kind == "orders" else None, CALLER[self.region],
+                **self.headers)
         except ConnectionRefusedError:
             return Told(key, 0, "not-sent", "connection refused")
         except OSError as error:
@@ -65,7 +68,8 @@
         if outcome == "done" and self.kind == "orders" and key not in str(body):
             with self._lock:
                 self.broken.append((key, body))
-        return Told(key, status, outcome, body.get("reason") if isinstance(body, dict) else "")
+        reason = body.get("reason") if isinstance(body, dict) else ""
+        return Told(key, status, outcome, reason, headers.get("Heather-Backend", ""), headers.get("Retry-After", ""))
 
     def counts(self):
         return dict(collections.Counter(told.outcome for told in self.told))
@@ -88,3 +92,22 @@
                 test.assertEqual(0, runs.get(key, 0), f"{key} was reported as not run: {answers}")
             elif outcomes[-1] == "not-run":
                 test.assertEqual(0, runs.get(key, 0), f"{key} ended as not run: {answers}")
+
+
+def check_caps(test, max_shift, *callers):
+    """No more than the share `max_shift` of a kind's requests from a region may have run elsewhere.
+
+    Each entry host counts what it received, so that requests that no entry host took do not count.
+    """
+    for caller in callers:
+        sent = [told for told in caller.told if told.outcome != "not-sent"]
+        moved = [told for told in sent if told.backend and f"-{caller.region}-" not in told.backend]
+        test.assertLessEqual(len(moved), max_shift * len(sent), f"{caller.kind} of {caller.region} moved")
+
+
+def check_refusals(test, *callers):
+    """Requests that a flood keeps out are refused as not run, with the time to wait."""
+    for caller in callers:
+        refused = [told for told in caller.told if told.reason in ("too-late", "queue-full")]
+        test.assertTrue(refused, f"no {caller.kind} were refused: {caller.counts()}")
+        test.assertEqual([], [told for told in refused if told.outcome != "not-run" or not told.retry_after])
--- a/testsuite/harness/small_deployment.py
+++ b/testsuite/harness/small_deployment.py
@@ -1,10 +1,8 @@
 """A small deployment for tests: two regions of two failure domains, one entry host each, and few backend servers."""
 
-import json
 import os
-import sys
 
-from heather_harness import Deployment, http_json, wait_until
+from heather_harness import Deployment
 
 BIN_DIR = os.environ.get("HEATHER_BIN_DIR", "build/release/bin")
 
@@ -23,9 +21,12 @@
 class SmallDeployment(Deployment):
     """Platform, planner, four entry hosts and eight backend servers; ready when made."""
 
-    def __init__(self, planners=1, service_ms=20, max_shift="50%", relay=None):
+    def __init__(self, planners=1, service_ms=20, max_shift="50%", relays=(), kinds=KINDS):
         super().__init__(BIN_DIR)
         self.max_shift = max_shift
+        self.kinds = kinds
+        self.relayed = relays
+        self.relays = {}
         self.backends = {}
         self.drains = []
         try:
@@ -40,6 +41,9 @@
             for region in REGIONS:
                 process = self.start_backends(f"{service}-{region}", SERVERS, SLOTS, service_ms)
                 self.backends[service, region] = process.ports
+                self.relays[service, region] = [
+                    self.start_relay(f"relay-{service}-{region}-{port}", port)
+                    for port in process.ports if (service, region) in self.relayed]
         self.entries = {}
         for number, region in enumerate(REGIONS, 1):
             for letter in "ab":
@@ -51,15 +55,21 @@
         self.apply_config()
         self.wait_ready(self.entries.values(), len(self.entries))
 
+    def relay_faults(self, service, region, **faults):
+        """Sets faults of every link between the entry hosts and a pool."""
+        for relay in self.relays[service, region]:
+            self.backend_faults(relay.ports[1], **faults)
+
     def config_text(self, note=""):
         lines = [f"name: small  # {note}", "regions:"]
         for region in REGIONS:
             lines.append(f"  - {{name: {region}, domains: [{region}-a, {region}-b]}}")
         lines.append("links: [{from: west, to: east, delay: 12ms, capacity: 4000Mbit/s}]")
-        lines.append(KINDS + f"rules: [{{name: all, max_shift: {self.max_shift}}}]")
+        lines.append(self.kinds + f"rules: [{{name: all, max_shift: {self.max_shift}}}]")
         lines.append("backends:")
         for (service, region), ports in self.backends.items():
-            for index, port in enumerate(ports):
+            relays = self.relays[service, region]
+            for index, port in enumerate([relay.ports[0] for relay in relays] or ports):
                 domain = f"{region}-{'ab'[index % 2]}"
                 lines.append(
                     f"  - {{name: {service}-{region}-{index}, service: {service}, region: {region}, domain: {domain}, "
