--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Runs a bench of the release build: bench.sh WORD [ARGUMENT...]. Words:
 #   decisions  policies for pools, in virtual time; --json for rows only
+#   faults     what kills, freezes and outages cost, over separate processes;
+#              --json, --rounds N
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -13,6 +15,10 @@
     scripts/build.sh release >&2
     exec "$bin/heather-bench-decisions" "$@"
     ;;
+  faults)
+    scripts/build.sh release >&2
+    exec /usr/bin/python3 scripts/bench_faults.py "$@"
+    ;;
   *)
     echo "bench.sh: no bench is named '$word'; see the head of this script" >&2
     exit 2
