--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs a bench of the release build: bench.sh WORD [ARGUMENT...]. Words:
 #   decisions  policies for pools, in virtual time; --json for rows only
+#   capacity   cost of a host at several numbers of entry hosts, as processes; --json, --hosts 5,10, --window 10
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -13,6 +14,10 @@
     scripts/build.sh release >&2
     exec "$bin/heather-bench-decisions" "$@"
     ;;
+  capacity)
+    scripts/build.sh release >&2
+    exec /usr/bin/python3 scripts/bench_capacity.py "$bin" "$@"
+    ;;
   *)
     echo "bench.sh: no bench is named '$word'; see the head of this script" >&2
     exit 2
--- a/src/heather-entry/entry_host.cc
+++ b/src/heather-entry/entry_host.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <future>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <thread>
@@ -159,7 +160,7 @@
   AdminServer::Sources MakeSources() {
     AdminServer::Sources sources;
     sources.state = [this] {
-      return OnLoop<std::string>([this] { return router_.DumpState(); });
+      return OnLoop<std::string>([this] { return DumpState(); });
     };
     sources.metrics = [this] { return metrics_.Text(); };
     sources.explain = [this](const std::string& kind,
@@ -172,6 +173,16 @@
     return sources;
   }
 
+  // The router's state and the bytes of the peers' connections since the start.
+  std::string DumpState() const {
+    nlohmann::json state = nlohmann::json::parse(router_.DumpState());
+    const heathernet::PeerStats& stats = peers_->stats();
+    state["peer_bytes_in"] = stats.bytes_in;
+    state["peer_bytes_out"] = stats.bytes_out;
+    state["peer_connections"] = stats.open_incoming + stats.open_outgoing;
+    return state.dump(2);
+  }
+
   // Runs `function` on the loop thread and returns its result; an empty one if
   // the loop does not get to it in time.
   template <typename T>
