--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,6 +3,7 @@
 #   decisions  policies for pools, in virtual time; --json for rows only
 #   faults     what kills, freezes and outages cost, over separate processes;
 #              --json, --rounds N
+#   capacity   cost of a host at several numbers of entry hosts, as processes; --json, --hosts 5,10, --window 10
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -19,6 +20,10 @@
     scripts/build.sh release >&2
     exec /usr/bin/python3 scripts/bench_faults.py "$@"
     ;;
+  capacity)
+    scripts/build.sh release >&2
+    exec /usr/bin/python3 scripts/bench_capacity.py "$bin" "$@"
+    ;;
   *)
     echo "bench.sh: no bench is named '$word'; see the head of this script" >&2
     exit 2
