--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -9,8 +9,10 @@
 
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Werror)
 
-# g++ 12 takes moved-from nlohmann::json values for uninitialized ones.
+# g++ 12 takes moved-from nlohmann::json values for uninitialized ones, and
+# warns of overlapping copies in std::string's operator+.
 add_compile_options($<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
+add_compile_options($<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
 
 # ccache needs this to reuse objects that include a precompiled header.
 add_compile_options($<$<CXX_COMPILER_ID:GNU>:-fpch-preprocess>)
@@ -18,4 +20,6 @@
 if(HEATHER_SANITIZE)
   add_compile_options(-fsanitize=${HEATHER_SANITIZE} -fno-omit-frame-pointer)
   add_link_options(-fsanitize=${HEATHER_SANITIZE})
+  # Asio's fences are known to be beyond g++'s thread sanitizer.
+  add_compile_options($<$<CXX_COMPILER_ID:GNU>:-Wno-tsan>)
 endif()
--- a/src/heather-entry/admin_server.cc
+++ b/src/heather-entry/admin_server.cc
@@ -3,10 +3,10 @@
 #include <httplib.h>
 
 #include <nlohmann/json.hpp>
-#include <stdexcept>
-#include <thread>
 #include <utility>
 
+#include "libheathernet/http_server.h"
+
 namespace heather_entry {
 namespace {
 
@@ -18,26 +18,12 @@
 class AdminServer::Impl {
  public:
   Impl(const std::string& address, std::uint16_t port, Sources sources)
-      : sources_(std::move(sources)) {
-    server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+      : sources_(std::move(sources)), server_(kThreads) {
     server_.set_read_timeout(kTimeoutS, 0);
     server_.set_keep_alive_timeout(1);
     server_.set_keep_alive_max_count(1);
     AddRoutes();
-    const int bound = port == 0 ? server_.bind_to_any_port(address)
-                      : server_.bind_to_port(address, port) ? port
-                                                            : -1;
-    if (bound <= 0) {
-      throw std::runtime_error("cannot listen on " + address + ":" +
-                               std::to_string(port));
-    }
-    port_ = static_cast<std::uint16_t>(bound);
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
-  }
-
-  ~Impl() {
-    server_.stop();
-    thread_.join();
+    port_ = server_.Start(address, port);
   }
 
   std::uint16_t port() const { return port_; }
@@ -59,9 +45,8 @@
   }
 
   Sources sources_;
-  httplib::Server server_;
-  std::thread thread_;
   std::uint16_t port_ = 0;
+  heathernet::HttpServer server_;
 };
 
 AdminServer::AdminServer(const std::string& address,
--- a/src/heather-entry/caller_server.cc
+++ b/src/heather-entry/caller_server.cc
@@ -9,15 +9,14 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
-#include <thread>
 
 #include "heather-entry/caller_service.h"
-#include "heather-entry/connection_threads.h"
 #include "heather-entry/entry_metrics.h"
 #include "heather-entry/entry_settings.h"
 #include "heatherlever/ipv4.h"
 #include "heatherlever/nearest_word.h"
 #include "heathernet/event_loop.h"
+#include "libheathernet/http_server.h"
 
 namespace heather_entry {
 namespace {
@@ -152,11 +151,10 @@
   Impl(const EntrySettings& settings,
        CallerService& service,
        EntryMetrics& metrics)
-      : service_(service), metrics_(metrics), name_(settings.name) {
-    const auto threads = static_cast<std::size_t>(settings.caller_threads);
-    server_.new_task_queue = [threads] {
-      return new ConnectionThreads(threads);
-    };
+      : service_(service),
+        metrics_(metrics),
+        name_(settings.name),
+        server_(static_cast<std::size_t>(settings.caller_threads)) {
     server_.set_payload_max_length(kMaxBodyBytes);
     server_.set_read_timeout(kReadTimeoutS, 0);
     server_.set_write_timeout(kWriteTimeoutS, 0);
@@ -164,14 +162,7 @@
     server_.set_keep_alive_max_count(kRequestsPerConnection);
     server_.set_tcp_nodelay(true);
     AddRoutes();
-    Listen(settings);
-  }
-
-  ~Impl() {
-    server_.stop();
-    if (thread_.joinable()) {
-      thread_.join();
-    }
+    port_ = server_.Start(settings.address, settings.http_port);
   }
 
   void StopAccepting() { server_.stop(); }
@@ -210,21 +201,6 @@
     };
   }
 
-  void Listen(const EntrySettings& settings) {
-    const int port =
-        settings.http_port == 0
-            ? server_.bind_to_any_port(settings.address)
-            : (server_.bind_to_port(settings.address, settings.http_port)
-                   ? settings.http_port
-                   : -1);
-    if (port <= 0) {
-      throw std::runtime_error("cannot listen on " + settings.address + ":" +
-                               std::to_string(settings.http_port));
-    }
-    port_ = static_cast<std::uint16_t>(port);
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
-  }
-
   KindSpec KindNamed(const std::string& name) const {
     auto kind = service_.Kind(name);
     if (!kind) {
@@ -325,11 +301,11 @@
   CallerService& service_;
   EntryMetrics& metrics_;
   const std::string name_;
-  httplib::Server server_;
-  std::thread thread_;
-  std::uint16_t port_ = 0;
   std::atomic<int> in_progress_{0};
   std::atomic<std::uint64_t> exchanges_{0};
+  std::uint16_t port_ = 0;
+  // Last, as its requests use all others until it has stopped.
+  heathernet::HttpServer server_;
 };
 
 CallerServer::CallerServer(const EntrySettings& settings,
--- a/src/heather-entry/main.cc
+++ b/src/heather-entry/main.cc
@@ -10,13 +10,11 @@
 #include "heather-entry/entry_settings.h"
 #include "heathernet/log.h"
 #include "heathernet/signal_waiter.h"
+#include "libheathernet/program.h"
 
 namespace heather_entry {
 namespace {
 
-constexpr int kExitFailure = 1;
-constexpr int kExitBadInput = 2;
-
 cxxopts::Options MakeOptions() {
   cxxopts::Options options(
       "heather-entry",
@@ -27,8 +25,6 @@
       cxxopts::value<std::string>());
   add("check", "check the settings and exit");
   add("verbose", "log at level debug");
-  add("version", "print the version");
-  add("help", "print this help");
   return options;
 }
 
@@ -37,7 +33,7 @@
   heathernet::SignalWaiter signals([&running] {
     EntryHost* host = running;
     if (host == nullptr) {
-      _exit(kExitFailure);
+      _exit(heathernet::kExitFailure);
     }
     host->Shutdown();
   });
@@ -49,25 +45,10 @@
   return 0;
 }
 
-int Main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  if (parsed.count("version") != 0) {
-    std::cout << HEATHER_VERSION << "\n";
-    return 0;
-  }
-  if (parsed.count("config") == 0) {
-    std::cerr << "heather-entry: --config FILE is missing; see --help\n";
-    return kExitBadInput;
-  }
-  const auto settings = LoadEntrySettings(parsed["config"].as<std::string>());
+int Run(const cxxopts::ParseResult& parsed) {
+  const auto settings = LoadEntrySettings(heathernet::ConfigPath(parsed));
   if (!settings.ok()) {
-    std::cerr << "heather-entry: " << settings.status().message() << "\n";
-    return kExitBadInput;
+    throw heathernet::BadInput(std::string(settings.status().message()));
   }
   if (parsed.count("check") != 0) {
     return 0;
@@ -81,13 +62,6 @@
 }  // namespace heather_entry
 
 int main(int argc, char** argv) {
-  try {
-    return heather_entry::Main(argc, argv);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "heather-entry: " << error.what() << "; see --help\n";
-    return heather_entry::kExitBadInput;
-  } catch (const std::exception& error) {
-    std::cerr << "heather-entry: " << error.what() << "\n";
-    return heather_entry::kExitFailure;
-  }
+  return heathernet::RunProgram(heather_entry::MakeOptions(), argc, argv,
+                                heather_entry::Run);
 }
--- a/src/heather-planner/main.cc
+++ b/src/heather-planner/main.cc
@@ -12,13 +12,11 @@
 #include "heathernet/log.h"
 #include "heathernet/platform_client.h"
 #include "heathernet/signal_waiter.h"
+#include "libheathernet/program.h"
 
 namespace heather_planner {
 namespace {
 
-constexpr int kExitFailure = 1;
-constexpr int kExitBadInput = 2;
-
 // Looks and plans until a signal asks for the end.
 int Serve(const PlannerSettings& settings) {
   std::mutex mutex;
@@ -47,7 +45,7 @@
   return 0;
 }
 
-int Main(int argc, char** argv) {
+cxxopts::Options MakeOptions() {
   cxxopts::Options options(
       "heather-planner",
       "Writes the membership epoch that entry hosts follow.\n\n"
@@ -57,25 +55,13 @@
       cxxopts::value<std::string>());
   add("check", "check the settings and exit");
   add("verbose", "log at level debug");
-  add("version", "print the version");
-  add("help", "print this help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  if (parsed.count("version") != 0) {
-    std::cout << HEATHER_VERSION << "\n";
-    return 0;
-  }
-  if (parsed.count("config") == 0) {
-    std::cerr << "heather-planner: --config FILE is missing; see --help\n";
-    return kExitBadInput;
-  }
-  const auto settings = LoadPlannerSettings(parsed["config"].as<std::string>());
+  return options;
+}
+
+int Run(const cxxopts::ParseResult& parsed) {
+  const auto settings = LoadPlannerSettings(heathernet::ConfigPath(parsed));
   if (!settings.ok()) {
-    std::cerr << "heather-planner: " << settings.status().message() << "\n";
-    return kExitBadInput;
+    throw heathernet::BadInput(std::string(settings.status().message()));
   }
   if (parsed.count("check") != 0) {
     return 0;
@@ -93,13 +79,6 @@
 }  // namespace heather_planner
 
 int main(int argc, char** argv) {
-  try {
-    return heather_planner::Main(argc, argv);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "heather-planner: " << error.what() << "; see --help\n";
-    return heather_planner::kExitBadInput;
-  } catch (const std::exception& error) {
-    std::cerr << "heather-planner: " << error.what() << "\n";
-    return heather_planner::kExitFailure;
-  }
+  return heathernet::RunProgram(heather_planner::MakeOptions(), argc, argv,
+                                heather_planner::Run);
 }
--- a/src/heather-scenario/scenario_error.h
+++ b/src/heather-scenario/scenario_error.h
@@ -1,14 +1,14 @@
 #ifndef HEATHER_SCENARIO_SCENARIO_ERROR_H_
 #define HEATHER_SCENARIO_SCENARIO_ERROR_H_
 
-#include <stdexcept>
+#include "libheathernet/program.h"
 
 namespace heather_scenario {
 
 /// A script that cannot be run: what was asked and what was found.
-class ScenarioError : public std::runtime_error {
+class ScenarioError : public heathernet::BadInput {
  public:
-  using std::runtime_error::runtime_error;
+  using heathernet::BadInput::BadInput;
 };
 
 }  // namespace heather_scenario
--- a/src/heather-standin/standin_server.cc
+++ b/src/heather-standin/standin_server.cc
@@ -8,13 +8,14 @@
 #include <algorithm>
 #include <chrono>
 
-#include "heather-standin/connection_threads.h"
 #include "heather-standin/socket_stream.h"
 #include "heather-standin/standin_error.h"
+#include "libheathernet/connection_threads.h"
 
 namespace heather_standin {
 namespace {
 
+constexpr std::size_t kMaxConnections = 20'000;
 constexpr int kListenBacklog = 1'024;
 constexpr int kIdleConnectionTimeoutSeconds = 600;
 constexpr std::size_t kRequestsPerConnection = 1'000'000;
@@ -32,7 +33,9 @@
 }  // namespace
 
 StandinServer::StandinServer() {
-  new_task_queue = [] { return new ConnectionThreads; };
+  new_task_queue = [] {
+    return new heathernet::ConnectionThreads(kMaxConnections);
+  };
   set_keep_alive_timeout(kIdleConnectionTimeoutSeconds);
   set_keep_alive_max_count(kRequestsPerConnection);
 }
--- a/src/heather-entry/connection_threads.cc
+++ b/src/libheathernet/connection_threads.cc
@@ -1,9 +1,9 @@
-#include "heather-entry/connection_threads.h"
+#include "libheathernet/connection_threads.h"
 
 #include <chrono>
 #include <utility>
 
-namespace heather_entry {
+namespace heathernet {
 namespace {
 
 // A thread without a connection ends after this long.
@@ -60,4 +60,4 @@
   changed_.notify_all();
 }
 
-}  // namespace heather_entry
+}  // namespace heathernet
--- a/src/heather-entry/connection_threads.h
+++ b/src/libheathernet/connection_threads.h
@@ -1,5 +1,5 @@
-#ifndef HEATHER_ENTRY_CONNECTION_THREADS_H_
-#define HEATHER_ENTRY_CONNECTION_THREADS_H_
+#ifndef LIBHEATHERNET_CONNECTION_THREADS_H_
+#define LIBHEATHERNET_CONNECTION_THREADS_H_
 
 #include <httplib.h>
 
@@ -10,7 +10,7 @@
 #include <mutex>
 #include <thread>
 
-namespace heather_entry {
+namespace heathernet {
 
 /// Serves each connection of an HTTP server on a thread of its own, up to a
 /// limit; further connections wait. cpp-httplib's own pool is of a fixed size,
@@ -38,6 +38,6 @@
   bool stopping_ = false;
 };
 
-}  // namespace heather_entry
+}  // namespace heathernet
 
-#endif  // HEATHER_ENTRY_CONNECTION_THREADS_H_
+#endif  // LIBHEATHERNET_CONNECTION_THREADS_H_
