Let a job's further attempt pass the gate of its recorded intent

Cause: JobLedger::Dispatch is true once for an attempt of the ledger. PoolRunner asked it again when the pool tried another server after a shed or a refused connection, took false for a withdrawal and answered not-run (cancelled). Ruled out: more than one run; a further attempt follows only one that was certainly not run, and the buddy holds the intent, so that it answers unknown and never runs the key itself.

--- a/src/heather-entry/pool_runner.cc
+++ b/src/heather-entry/pool_runner.cc
@@ -144,13 +144,16 @@
 }
 
 void PoolRunner::Run(const heatherlever::DispatchAction& action) {
-  const Pending& pending = requests_.at(action.id);
+  Pending& pending = requests_.at(action.id);
   const Instant now = heathernet::EventLoop::Now();
   if (pending.gate && !pending.gate()) {
     queue_->Cancel(action.id, now);
     queue_->AttemptDone(action.attempt, AttemptResult::kNotSent, now);
     return;
   }
+  // A further attempt follows only one that was certainly not run, and belongs
+  // to the same recorded intent.
+  pending.gate = nullptr;
   const heatherlever::BackendSpec& backend = backends_.at(action.backend);
   BackendCall call;
   call.address = backend.address;
--- a/testsuite/harness/load.py
+++ b/testsuite/harness/load.py
@@ -74,6 +74,11 @@
     def counts(self):
         return dict(collections.Counter(told.outcome for told in self.told))
 
+    def reasons(self):
+        """Counts of what was not done, by outcome and reason."""
+        return dict(collections.Counter(
+            f"{told.outcome} {told.reason}" for told in self.told if told.outcome != "done"))
+
 
 def check_at_most_once(test, deployment, *callers):
     """Compares what callers were told with what the backend servers ran."""
--- a/testsuite/harness/small_deployment.py
+++ b/testsuite/harness/small_deployment.py
@@ -97,6 +97,10 @@
     def over_slots(self):
         return sum(self.backend_get(port, "/standin/stats")["over_slots"] for port in self.backend_ports())
 
+    def over_slots_by_pool(self):
+        return {f"{service}-{region}": [self.backend_get(port, "/standin/stats")["over_slots"] for port in ports]
+                for (service, region), ports in self.backends.items()}
+
     def home_of(self, region):
         """The entry host that leads the orders of a region, by the look-up."""
         entry = next(iter(entry for entry in self.entries.values() if entry.popen.poll() is None))
