Give a peer's answer at the deadline the time to arrive

Cause: the timeout of a forwarded request was its deadline, so that a request which the owner ended at the deadline always looked like a silent owner. The sender then passed the owner over for 2 s and two hosts dispatched to one pool.

--- a/src/heather-entry/work_codec.cc
+++ b/src/heather-entry/work_codec.cc
@@ -1,6 +1,7 @@
 #include "heather-entry/work_codec.h"
 
 #include <charconv>
+#include <chrono>
 
 #include "heather-entry/work_answer.h"
 #include "heather-entry/work_request.h"
@@ -24,6 +25,10 @@
 constexpr char kRetryAfter[] = "x-retry-after-us";
 constexpr char kBackend[] = "x-backend";
 
+// The peer answers at the deadline at the latest. A timeout at the same moment
+// would take a peer with slow backend servers for a silent one.
+constexpr heatherlever::Duration kAnswerMargin = std::chrono::milliseconds(250);
+
 std::string TextOr(const PeerHeaders& headers,
                    const std::string& name,
                    const std::string& fallback) {
@@ -66,7 +71,7 @@
                      {kRemaining, std::to_string(request.remaining.count())},
                      {kContentType, request.content_type}};
   message.body = request.body;
-  message.timeout = request.remaining;
+  message.timeout = request.remaining + kAnswerMargin;
   return message;
 }
 
