--- a/testsuite/process/fault_pairs_test.py
+++ b/testsuite/process/fault_pairs_test.py
@@ -38,6 +38,17 @@
     def restart(deployment, entry):
         deployment.entries[entry.name] = deployment.start_entry(entry.name, entry.region, entry.domain, entry.address)
 
+    def test_orders_go_on_after_a_buddy_was_killed(self):
+        with SmallDeployment() as deployment:
+            home, buddy = deployment.home_of("west"), self.buddy_of(deployment, "west")
+            with Callers(deployment, seed=95):
+                time.sleep(PHASE_S)
+            buddy.kill()
+            deployment.deregister(buddy.name)
+            wait_until(lambda: deployment.state(home)["members"] == 3, "an epoch without the buddy")
+            wait_until(lambda: deployment.work(home, "orders", "b", f"after-{time.monotonic()}", CALLER["west"])[0] == 200,
+                       "an order is done", timeout=10)
+
     def test_home_frozen_and_platform_down(self):
         frozen = []
 
