--- a/testsuite/process/fault_pairs_test.py
+++ b/testsuite/process/fault_pairs_test.py
@@ -1,5 +1,6 @@
 """Two faults at once: orders stay at most once and truthful, and service comes back."""
 
+import itertools
 import time
 import unittest
 
@@ -46,7 +47,8 @@
             buddy.kill()
             deployment.deregister(buddy.name)
             wait_until(lambda: deployment.state(home)["members"] == 3, "an epoch without the buddy")
-            wait_until(lambda: deployment.work(home, "orders", "b", f"after-{time.monotonic()}", CALLER["west"])[0] == 200,
+            keys = (f"after-{number}" for number in itertools.count())
+            wait_until(lambda: deployment.work(home, "orders", "b", next(keys), CALLER["west"])[0] == 200,
                        "an order is done", timeout=10)
 
     def test_home_frozen_and_platform_down(self):
--- a/testsuite/process/static_stability_test.py
+++ b/testsuite/process/static_stability_test.py
@@ -45,6 +45,18 @@
             wait_until(lambda: "lease taken" in deployment.log(other), "the other planner takes the lease")
             deployment.wait_ready(deployment.entries.values(), 5)
 
+    def test_new_host_in_an_outage_gets_an_epoch_older_than_the_configuration(self):
+        with SmallDeployment() as deployment:
+            deployment.processes["planner-0"].kill()
+            deployment.apply_config("second")
+            wait_until(lambda: set(deployment.config_versions().values()) == {2}, "version 2 on every host")
+            deployment.platform_faults(down=True)
+            seed = deployment.entries["west-b"]
+            new = deployment.start_entry(
+                "west-new", "west", "west-a", "127.0.1.9",
+                seeds=f"[{{address: {seed.address}, peer_port: {seed.ports[1]}}}]")
+            wait_until(lambda: deployment.state(new)["members"] == 4, "the epoch at the new host", timeout=10)
+
     def test_killed_host_that_the_list_still_shows(self):
         with SmallDeployment() as deployment:
             deployment.platform_faults(list_lag_ms=5000)
