--- a/src/heatherctl/command.h
+++ b/src/heatherctl/command.h
@@ -24,6 +24,10 @@
   bool json = false;
   /// Version that `apply` replaces; -1 for the newest.
   std::int64_t expect_version = -1;
+  /// `drain`: name of the new drain; empty for a free one.
+  std::string name;
+  /// `drain`: time over which traffic is moved away, such as 30s.
+  std::string ramp;
 };
 
 /// One command of heatherctl.
--- a/src/heatherctl/line_diff.cc
+++ b/src/heatherctl/line_diff.cc
@@ -1,18 +1,22 @@
 #include "heatherctl/line_diff.h"
 
 #include <algorithm>
-#include <sstream>
+
+#include "heatherctl/text_lines.h"
 
 namespace heatherctl {
 namespace {
 
-std::vector<std::string> Lines(const std::string& text) {
-  std::istringstream stream(text);
-  std::vector<std::string> lines;
-  for (std::string line; std::getline(stream, line);) {
-    lines.push_back(line);
+// Removes the lines that both texts start and end with: the comparison takes
+// the product of the two lengths.
+void TrimCommonEnds(std::vector<std::string>& a, std::vector<std::string>& b) {
+  while (!a.empty() && !b.empty() && a.back() == b.back()) {
+    a.pop_back();
+    b.pop_back();
   }
-  return lines;
+  const auto ends = std::mismatch(a.begin(), a.end(), b.begin(), b.end());
+  a.erase(a.begin(), ends.first);
+  b.erase(b.begin(), ends.second);
 }
 
 // Lengths of the longest common subsequences of all pairs of tails.
@@ -35,8 +39,9 @@
 
 std::vector<std::string> LineDiff(const std::string& before,
                                   const std::string& after) {
-  const std::vector<std::string> a = Lines(before);
-  const std::vector<std::string> b = Lines(after);
+  std::vector<std::string> a = TextLines(before);
+  std::vector<std::string> b = TextLines(after);
+  TrimCommonEnds(a, b);
   const auto lengths = CommonLengths(a, b);
   std::vector<std::string> diff;
   std::size_t i = 0;
--- a/src/heatherctl/main.cc
+++ b/src/heatherctl/main.cc
@@ -4,27 +4,12 @@
 #include <iostream>
 
 #include "heatherctl/command.h"
-#include "heatherctl/config_commands.h"
-#include "heatherctl/host_commands.h"
 #include "heatherctl/platform_access.h"
 #include "heatherlever/nearest_word.h"
 #include "heathernet/platform_error.h"
 
 namespace heatherctl {
 
-const std::vector<Command>& Commands() {
-  static const std::vector<Command> commands = {
-      {"check", "FILE", "whether a configuration would be accepted", RunCheck},
-      {"diff", "FILE", "compare a file with the newest version", RunDiff},
-      {"apply", "FILE", "make a file the newest version", RunApply},
-      {"status", "", "versions in force and entry hosts", RunStatus},
-      {"dump", "ADDRESS:PORT", "state of an entry host (admin port)", RunDump},
-      {"explain", "ADDRESS:PORT KIND CLIENT",
-       "where a request would go, and why", RunExplain},
-  };
-  return commands;
-}
-
 namespace {
 
 std::string HelpText() {
@@ -37,6 +22,7 @@
          "\nExamples:\n"
          "  heatherctl check examples/vatuwaqa/deployment.yaml\n"
          "  heatherctl --platform 127.0.0.1:2379 apply deployment.yaml\n"
+         "  heatherctl drain 'region = viti-west' --ramp 30s\n"
          "  heatherctl dump 127.0.1.1:9000\n\n"
          "Exit codes: 0 done, 1 failure, 2 bad input, 3 conflict, 4 platform "
          "unavailable\n";
@@ -63,6 +49,10 @@
   add("json", "print JSON instead of a table");
   add("expect-version", "apply: the version to replace",
       cxxopts::value<std::int64_t>()->default_value("-1"));
+  add("name", "drain: its name (default: drain-1, drain-2, ...)",
+      cxxopts::value<std::string>()->default_value(""));
+  add("ramp", "drain: time over which traffic is moved away, such as 30s",
+      cxxopts::value<std::string>()->default_value(""));
   add("words", "the command and its arguments",
       cxxopts::value<std::vector<std::string>>());
   add("version", "print the version");
@@ -83,6 +73,8 @@
   line.platform = parsed["platform"].as<std::string>();
   line.json = parsed.count("json") != 0;
   line.expect_version = parsed["expect-version"].as<std::int64_t>();
+  line.name = parsed["name"].as<std::string>();
+  line.ramp = parsed["ramp"].as<std::string>();
   return FindCommand(words.front()).run(line);
 }
 
