heather-load: add experiments, a report page and a wave of the rate

A stream's wave changes its rate by thinning, so arrivals stay a seeded Poisson process. Ruled out: running one setting after the other, where a slow change of the machine would look like a difference. The page was not opened in a browser: none is installed.

--- a/src/heather-load/arrival.cc
+++ b/src/heather-load/arrival.cc
@@ -10,11 +10,15 @@
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 
+// Arrivals are drawn at the highest rate and kept with the chance that the
+// wave gives (thinning), which yields a Poisson process of a changing rate.
 void AddStream(const LoadStream& stream,
                std::uint64_t seed,
                std::vector<Arrival>& arrivals) {
+  const double most = stream.wave ? stream.wave->high : 1;
   std::mt19937_64 generator(seed);
-  std::exponential_distribution<double> gap_s(stream.rate_per_s);
+  std::exponential_distribution<double> gap_s(stream.rate_per_s * most);
+  std::uniform_real_distribution<double> chance(0, most);
   std::uniform_int_distribution<std::uint32_t> caller(
       0, static_cast<std::uint32_t>(stream.callers - 1));
   double at_us = static_cast<double>(stream.start.count());
@@ -24,6 +28,9 @@
     if (at >= stream.end) {
       return;
     }
+    if (stream.wave && chance(generator) >= stream.wave->Factor(at)) {
+      continue;
+    }
     arrivals.push_back(
         {at, &stream, stream.first_caller + caller(generator), 0});
   }
--- a/src/heather-load/load_plan.cc
+++ b/src/heather-load/load_plan.cc
@@ -53,6 +53,25 @@
                        heatherlever::NearestWordHint(kind, names));
 }
 
+std::optional<Wave> ReadWave(YamlMap& stream) {
+  std::optional<YamlMap> found = stream.MapOr("wave");
+  if (!found) {
+    return std::nullopt;
+  }
+  YamlMap& map = *found;
+  Wave wave;
+  wave.period = map.Time("period");
+  wave.low = map.Share("low");
+  wave.high = map.Share("high");
+  wave.phase = map.TimeOr("phase", Duration(0));
+  map.Finish();
+  if (wave.period <= Duration(0) || wave.high <= 0 || wave.low > wave.high) {
+    stream.Fail("wave",
+                "'wave' wants a period above 0, and low not above high");
+  }
+  return wave;
+}
+
 LoadStream ReadStream(YamlMap& map, const LoadPlan& plan) {
   LoadStream stream;
   stream.name = map.Text("name");
@@ -60,6 +79,7 @@
   RequireKind(map, plan.deployment, stream.kind);
   stream.rate_per_s =
       static_cast<double>(map.Number("rate_per_s", 1, kMaxRate));
+  stream.wave = ReadWave(map);
   stream.start = map.TimeOr("start", Duration(0));
   stream.end = map.TimeOr("end", plan.duration);
   stream.first_caller = *heatherlever::ParseIpv4(map.Address("first_caller"));
--- a/src/heather-load/load_plan.h
+++ b/src/heather-load/load_plan.h
@@ -4,9 +4,11 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "heather-load/wave.h"
 #include "heatherlever/deployment_spec.h"
 #include "heatherlever/instant.h"
 
@@ -19,6 +21,8 @@
   std::string kind;
   /// Mean arrivals a second, as a Poisson process.
   double rate_per_s = 0;
+  /// Changes the rate over time.
+  std::optional<Wave> wave;
   /// Time from the start of the load at which the stream starts and ends.
   heatherlever::Duration start{0};
   heatherlever::Duration end{0};
--- a/src/heather-load/load_table.cc
+++ b/src/heather-load/load_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <set>
 #include <sstream>
 
 #include "heather-load/arrival.h"
@@ -42,16 +43,17 @@
   }
 }
 
-LoadRow MakeRow(const heatherlever::KindSpec& kind,
+// The figures of the requests whose kind is among `kinds`.
+LoadRow MakeRow(const std::set<std::string>& kinds,
+                heatherlever::Rank rank,
                 const std::vector<RequestResult>& results) {
   constexpr double kHalf = 0.5;
   constexpr double kNearlyAll = 0.99;
   LoadRow row;
-  row.kind = kind.name;
-  row.rank = RankName(kind.rank);
+  row.rank = RankName(rank);
   std::vector<double> latencies;
   for (const RequestResult& result : results) {
-    if (result.arrival->stream->kind != kind.name) {
+    if (kinds.count(result.arrival->stream->kind) == 0) {
       continue;
     }
     ++row.sent;
@@ -78,7 +80,8 @@
       [](const auto& a, const auto& b) { return a.rank < b.rank; });
   std::vector<LoadRow> rows;
   for (const heatherlever::KindSpec& kind : kinds) {
-    LoadRow row = MakeRow(kind, results);
+    LoadRow row = MakeRow({kind.name}, kind.rank, results);
+    row.kind = kind.name;
     if (row.sent > 0) {
       rows.push_back(std::move(row));
     }
@@ -86,6 +89,31 @@
   return rows;
 }
 
+std::map<heatherlever::Rank, LoadRow> MakeRankRows(
+    const LoadPlan& plan,
+    const std::vector<RequestResult>& results) {
+  std::map<heatherlever::Rank, std::set<std::string>> kinds;
+  for (const heatherlever::KindSpec& kind : plan.deployment.kinds) {
+    kinds[kind.rank].insert(kind.name);
+  }
+  std::map<heatherlever::Rank, LoadRow> rows;
+  for (const auto& [rank, names] : kinds) {
+    LoadRow row = MakeRow(names, rank, results);
+    if (row.sent > 0) {
+      rows[rank] = std::move(row);
+    }
+  }
+  return rows;
+}
+
+bool PromisesKept(const std::vector<LoadRow>& rows, const RunCheck& check) {
+  const bool whole = std::all_of(rows.begin(), rows.end(), [](const auto& row) {
+    return row.broken == 0;
+  });
+  return whole && check.doubled == 0 && check.false_not_run == 0 &&
+         check.false_done == 0;
+}
+
 std::string FormatTable(const std::vector<LoadRow>& rows,
                         const RunCheck& check) {
   std::ostringstream table;
--- a/src/heather-load/load_table.h
+++ b/src/heather-load/load_table.h
@@ -1,11 +1,13 @@
 #ifndef HEATHER_LOAD_LOAD_TABLE_H_
 #define HEATHER_LOAD_LOAD_TABLE_H_
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "heather-load/request_result.h"
+#include "heatherlever/rank.h"
 
 namespace heather_load {
 
@@ -31,6 +33,15 @@
 std::vector<LoadRow> MakeRows(const LoadPlan& plan,
                               const std::vector<RequestResult>& results);
 
+/// One row a rank, over all of its kinds; `kind` is empty.
+std::map<heatherlever::Rank, LoadRow> MakeRankRows(
+    const LoadPlan& plan,
+    const std::vector<RequestResult>& results);
+
+/// Whether every answer was whole and nothing was run twice or reported
+/// wrongly.
+bool PromisesKept(const std::vector<LoadRow>& rows, const RunCheck& check);
+
 /// Rows and check as a table for people.
 std::string FormatTable(const std::vector<LoadRow>& rows,
                         const RunCheck& check);
--- a/src/heather-load/main.cc
+++ b/src/heather-load/main.cc
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
 #include <map>
 
 #include "heather-load/arrival.h"
+#include "heather-load/experiment.h"
+#include "heather-load/experiment_report.h"
+#include "heather-load/experiment_table.h"
 #include "heather-load/load_plan.h"
 #include "heather-load/load_run.h"
 #include "heather-load/load_table.h"
@@ -17,14 +21,6 @@
 constexpr int kExitBroken = 1;
 constexpr int kExitBadInput = 2;
 
-bool PromisesKept(const std::vector<LoadRow>& rows, const RunCheck& check) {
-  const bool whole = std::all_of(rows.begin(), rows.end(), [](const auto& row) {
-    return row.broken == 0;
-  });
-  return whole && check.doubled == 0 && check.false_not_run == 0 &&
-         check.false_done == 0;
-}
-
 void PrintReasons(const std::vector<RequestResult>& results) {
   std::map<std::string, int> counts;
   for (const RequestResult& result : results) {
@@ -37,6 +33,59 @@
   }
 }
 
+int RunOneLoad(const cxxopts::ParseResult& parsed) {
+  const auto plan = LoadLoadPlan(parsed["config"].as<std::string>());
+  if (!plan.ok()) {
+    std::cerr << "heather-load: " << plan.status().message() << "\n";
+    return kExitBadInput;
+  }
+  const std::vector<Arrival> arrivals = MakeArrivals(*plan);
+  const std::vector<RequestResult> results = RunLoad(*plan, arrivals);
+  const std::vector<LoadRow> rows = MakeRows(*plan, results);
+  const RunCheck check = CheckRuns(*plan, results);
+  if (parsed.count("json") != 0) {
+    std::cout << ToJson(rows, check).dump(2) << "\n";
+  } else {
+    std::cout << FormatTable(rows, check);
+  }
+  if (parsed.count("verbose") != 0) {
+    PrintReasons(results);
+  }
+  return PromisesKept(rows, check) ? 0 : kExitBroken;
+}
+
+void WriteReport(const std::string& path,
+                 const std::vector<SettingResult>& results) {
+  std::ofstream file(path);
+  file << ExperimentPage(results);
+  file.close();
+  if (!file) {
+    throw std::runtime_error(path + ": the report cannot be written");
+  }
+}
+
+int RunSideBySide(const cxxopts::ParseResult& parsed) {
+  const auto experiment =
+      Experiment::Load(parsed["experiment"].as<std::string>());
+  if (!experiment.ok()) {
+    std::cerr << "heather-load: " << experiment.status().message() << "\n";
+    return kExitBadInput;
+  }
+  const std::vector<SettingResult> results = RunExperiment(*experiment);
+  if (parsed.count("json") != 0) {
+    std::cout << ExperimentJson(results).dump(2) << "\n";
+  } else {
+    std::cout << FormatExperiment(results);
+  }
+  if (parsed.count("report") != 0) {
+    WriteReport(parsed["report"].as<std::string>(), results);
+  }
+  const bool kept =
+      std::all_of(results.begin(), results.end(),
+                  [](const auto& result) { return result.promises_kept; });
+  return kept ? 0 : kExitBroken;
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options(
       "heather-load",
@@ -45,6 +94,10 @@
       "Exit codes: 0 every promise kept, 1 one broken, 2 bad input\n");
   auto add = options.add_options();
   add("config", "the load (YAML)", cxxopts::value<std::string>());
+  add("experiment", "loads to run side by side, repeatedly (YAML)",
+      cxxopts::value<std::string>());
+  add("report", "experiment: write a page with plots (HTML)",
+      cxxopts::value<std::string>());
   add("json", "print JSON instead of a table");
   add("verbose", "print why requests were not served");
   add("version", "print the version");
@@ -58,28 +111,14 @@
     std::cout << HEATHER_VERSION << "\n";
     return 0;
   }
+  if (parsed.count("experiment") != 0) {
+    return RunSideBySide(parsed);
+  }
   if (parsed.count("config") == 0) {
     std::cerr << "heather-load: --config FILE is missing; see --help\n";
     return kExitBadInput;
   }
-  const auto plan = LoadLoadPlan(parsed["config"].as<std::string>());
-  if (!plan.ok()) {
-    std::cerr << "heather-load: " << plan.status().message() << "\n";
-    return kExitBadInput;
-  }
-  const std::vector<Arrival> arrivals = MakeArrivals(*plan);
-  const std::vector<RequestResult> results = RunLoad(*plan, arrivals);
-  const std::vector<LoadRow> rows = MakeRows(*plan, results);
-  const RunCheck check = CheckRuns(*plan, results);
-  if (parsed.count("json") != 0) {
-    std::cout << ToJson(rows, check).dump(2) << "\n";
-  } else {
-    std::cout << FormatTable(rows, check);
-  }
-  if (parsed.count("verbose") != 0) {
-    PrintReasons(results);
-  }
-  return PromisesKept(rows, check) ? 0 : kExitBroken;
+  return RunOneLoad(parsed);
 }
 
 }  // namespace
--- a/src/libheatherlever/yaml_map.cc
+++ b/src/libheatherlever/yaml_map.cc
@@ -224,6 +224,17 @@
   return labels;
 }
 
+std::optional<YamlMap> YamlMap::MapOr(const std::string& key) {
+  const YAML::Node node = Find(key);
+  if (!node.IsDefined() || node.IsNull()) {
+    return std::nullopt;
+  }
+  if (!node.IsMap()) {
+    Fail(key, "'" + key + "' wants a mapping");
+  }
+  return YamlMap(node, file_, key);
+}
+
 std::vector<YamlMap> YamlMap::Maps(const std::string& key,
                                    const std::string& what) {
   std::vector<YamlMap> maps;
--- a/src/libheatherlever/yaml_map.h
+++ b/src/libheatherlever/yaml_map.h
@@ -4,6 +4,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
   std::vector<std::string> Texts(const std::string& key);
   Labels LabelsOr(const std::string& key);
 
+  /// A mapping within this one, if there is one.
+  std::optional<YamlMap> MapOr(const std::string& key);
+
   /// The mappings of a list; an absent list is empty.
   std::vector<YamlMap> Maps(const std::string& key, const std::string& what);
 
