Bound what all entry hosts together read from the platform

Each host read configuration, epoch and list at every poll_interval: 3.0 reads a second and host, 3,006 at 1,000 hosts, above the platform's two thousand. Now up to 20 hosts poll at poll_interval and n hosts n / 20 times as rarely each, with jitter; whoever reads news first spreads it by gossip. The count is that of the hosts heard of, so that hosts that are cut off poll faster again. Registrations keep their pace. Summaries of pools are published when they differ or are 1 s old, not four times a second. Ruled out: a few pollers picked by hash (a dead or cut-off picked host delays news until the others notice); watching the platform (another interface).

--- a/src/heather-entry/directory.cc
+++ b/src/heather-entry/directory.cc
@@ -101,6 +101,10 @@
                     }));
 }
 
+int Directory::HeardCount(Instant now) const {
+  return static_cast<int>(epoch_.members.size()) - SilentCount("", now);
+}
+
 int Directory::MemberCount(const std::string& region) const {
   return static_cast<int>(std::count_if(
       epoch_.members.begin(), epoch_.members.end(),
--- a/src/heather-entry/directory.h
+++ b/src/heather-entry/directory.h
@@ -54,6 +54,9 @@
   /// Members that are silent, of a region; of all for an empty name.
   int SilentCount(const std::string& region, heatherlever::Instant now) const;
 
+  /// Members of the epoch that are not silent.
+  int HeardCount(heatherlever::Instant now) const;
+
   /// Members of a region.
   int MemberCount(const std::string& region) const;
 
--- a/src/heather-entry/entry_host.cc
+++ b/src/heather-entry/entry_host.cc
@@ -19,6 +19,7 @@
 #include "heather-entry/entry_metrics.h"
 #include "heather-entry/entry_settings.h"
 #include "heather-entry/gossip_codec.h"
+#include "heather-entry/headroom_pace.h"
 #include "heather-entry/membership_runner.h"
 #include "heather-entry/newest_state.h"
 #include "heather-entry/platform_agent.h"
@@ -321,10 +322,13 @@
 
   void Refresh() {
     router_.Refresh();
+    agent_->SetHeardHosts(router_.HeardMembers());
     for (const auto& [pool, report] : router_.OwnHeadroom()) {
       router_.OnHeadroom(pool, report);
-      membership_.Publish(
-          {PoolKey(pool), NewIncarnation(), EncodeHeadroom(report), false});
+      const std::string payload = EncodeHeadroom(report);
+      if (headroom_pace_.Due(pool, payload, EventLoop::Now())) {
+        membership_.Publish({PoolKey(pool), NewIncarnation(), payload, false});
+      }
     }
     loop_.After(kRefreshInterval, [this] { Refresh(); });
   }
@@ -370,6 +374,7 @@
   std::map<std::int64_t, std::shared_ptr<const ActiveConfig>> configs_;
   std::optional<EpochRecord> waiting_epoch_;
   NewestState newest_;
+  HeadroomPace headroom_pace_;
   bool list_read_ = false;
   bool leaving_ = false;
   Instant stop_by_{0};
--- a/src/heather-entry/platform_agent.cc
+++ b/src/heather-entry/platform_agent.cc
@@ -7,7 +7,9 @@
 
 #include "heather-entry/entry_settings.h"
 #include "heatherlever/epoch_codec.h"
+#include "heatherlever/poll_pace.h"
 #include "heathernet/config_store.h"
+#include "heathernet/event_loop.h"
 #include "heathernet/log.h"
 #include "heathernet/platform_client.h"
 #include "heathernet/platform_error.h"
@@ -17,6 +19,8 @@
 namespace heather_entry {
 
 using heatherlever::ConfigRecord;
+using heatherlever::Instant;
+using heathernet::EventLoop;
 using heathernet::PartLogger;
 using heathernet::PlatformClient;
 using heathernet::PlatformError;
@@ -25,9 +29,9 @@
 
 constexpr char kEpochKey[] = "epoch/current";
 
-// The registration is repeated after this many polls, as the list may have
-// lost it.
-constexpr int kPollsPerRegistration = 10;
+// The registration is repeated after this many times poll_interval, as the
+// list may have lost it.
+constexpr int kIntervalsPerRegistration = 10;
 
 }  // namespace
 
@@ -50,7 +54,9 @@
 
 PlatformAgent::PlatformAgent(const EntrySettings& settings,
                              heatherlever::HostRecord self)
-    : poll_interval_(settings.poll_interval), self_(std::move(self)) {}
+    : poll_interval_(settings.poll_interval),
+      self_(std::move(self)),
+      generator_(self_.incarnation) {}
 
 PlatformAgent::~PlatformAgent() {
   Stop();
@@ -103,9 +109,9 @@
 void PlatformAgent::Step() {
   try {
     KeepRegistered();
-    ReadConfig();
-    ReadEpoch();
-    on_hosts_(client_->HostList());
+    if (!Read()) {
+      return;
+    }
     if (!reachable_) {
       PartLogger("platform")->info("reachable again");
     }
@@ -118,6 +124,21 @@
   }
 }
 
+bool PlatformAgent::Read() {
+  const Instant now = EventLoop::Now();
+  if (now < read_at_) {
+    return false;
+  }
+  // Set first, so that many hosts do not read faster during an outage.
+  std::uniform_real_distribution<double> random(0, 1);
+  read_at_ = now + heatherlever::PollPace(poll_interval_, heard_hosts_,
+                                          random(generator_));
+  ReadConfig();
+  ReadEpoch();
+  on_hosts_(client_->HostList());
+  return true;
+}
+
 void PlatformAgent::KeepRegistered() {
   bool leaving = false;
   {
@@ -131,11 +152,11 @@
     }
     return;
   }
-  if (steps_to_register_ == 0) {
+  const Instant now = EventLoop::Now();
+  if (now >= register_at_) {
     client_->Register(self_);
-    steps_to_register_ = kPollsPerRegistration;
+    register_at_ = now + kIntervalsPerRegistration * poll_interval_;
   }
-  --steps_to_register_;
 }
 
 void PlatformAgent::ReadConfig() {
--- a/src/heather-entry/platform_agent.h
+++ b/src/heather-entry/platform_agent.h
@@ -3,11 +3,13 @@
 
 #include <absl/status/statusor.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -49,6 +51,10 @@
   /// for each reading of the list of hosts.
   void Start(OnConfig on_config, OnEpoch on_epoch, OnHosts on_hosts);
 
+  /// Number of entry hosts that this one hears of, itself included; the more
+  /// they are, the more rarely each of them reads (see PollPace).
+  void SetHeardHosts(int hosts) { heard_hosts_ = hosts; }
+
   /// Marks this host as leaving in the platform's list, soon.
   void Leave();
 
@@ -60,6 +66,8 @@
 
   void Run();
   void Step();
+  // Reads if that is due, and returns whether it was.
+  bool Read();
   void KeepRegistered();
   void ReadConfig();
   void ReadEpoch();
@@ -75,7 +83,10 @@
   bool stopping_ = false;
   bool leaving_ = false;
   bool told_leaving_ = false;
-  int steps_to_register_ = 0;
+  std::atomic<int> heard_hosts_{0};
+  std::mt19937_64 generator_;
+  heatherlever::Instant register_at_{0};
+  heatherlever::Instant read_at_{0};
   heatherlever::ConfigRecord config_;
   std::uint64_t epoch_number_ = 0;
   bool reachable_ = true;
--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -561,6 +561,10 @@
   return in_progress_ == 0 && pools_.pending() == 0 && jobs_.idle();
 }
 
+int Router::HeardMembers() const {
+  return directory_.HeardCount(EventLoop::Now());
+}
+
 std::string Router::DumpState() const {
   nlohmann::json pools = nlohmann::json::array();
   for (const auto& [name, pool] : pools_.pools()) {
--- a/src/heather-entry/router.h
+++ b/src/heather-entry/router.h
@@ -76,6 +76,9 @@
   /// times a second.
   void Refresh();
 
+  /// Members of the epoch that this host hears of.
+  int HeardMembers() const;
+
   /// Refuses new callers and hands the jobs' pools over.
   void Leave();
 
