--- a/scripts/bench_capacity.py
+++ b/scripts/bench_capacity.py
@@ -183,10 +183,10 @@
                 "resident_mb": statistics.mean(resident_mb(entry.popen.pid) for entry in entries)}}
 
 
-def slope(rows, key):
+def slope(rows, group, key):
     """Least squares over the sizes: change a host, and the value at the target size."""
     sizes = [row["hosts"] for row in rows]
-    values = [row["idle"][key] for row in rows]
+    values = [row[group][key] for row in rows]
     if len(rows) < 2:
         return {"per_host": None, "at_target": None}
     line = statistics.linear_regression(sizes, values)
@@ -233,7 +233,8 @@
     report = {"sizes": rows, "slopes": {}, "membership": None, "placement": None}
     for key in ("cpu_percent", "resident_mb", "peer_bytes_per_s", "platform_reads_per_s", "platform_writes_per_s",
                 "planner_cpu_percent", "planner_resident_mb"):
-        report["slopes"][key] = slope(rows, key)
+        report["slopes"][key] = slope(rows, "idle", key)
+    report["slopes"]["peer_bytes_per_change"] = slope(rows, "change", "peer_bytes_per_change")
     if not arguments.processes_only:
         report["membership"] = run_json(
             os.path.join(arguments.bin_dir, "heather-bench-membership"), "--hosts", FLEET_SIZES, "--json")
