--- a/src/heather-entry/entry_host.cc
+++ b/src/heather-entry/entry_host.cc
@@ -247,7 +247,7 @@
                                   std::string(config.status().message()));
       return;
     }
-    configs_[record.version] = *config;
+    configs_[record.version] = {record, *config};
     while (configs_.size() > kConfigsKept) {
       configs_.erase(configs_.begin());
     }
@@ -264,14 +264,18 @@
 
   // An epoch waits until the configuration that it names is known.
   void TakeEpoch(const EpochRecord& epoch) {
+    if (newest_.epoch && epoch.number <= newest_.epoch->number) {
+      return;
+    }
     const auto config = configs_.find(epoch.config_version);
     if (config == configs_.end()) {
       waiting_epoch_ = epoch;
       return;
     }
     waiting_epoch_.reset();
-    router_.InstallEpoch(epoch, config->second);
+    router_.InstallEpoch(epoch, config->second.active);
     newest_.epoch = epoch;
+    newest_.epoch_config = config->second.record;
     if (!list_read_) {
       membership_.OnHostList(epoch.members);
     }
@@ -312,6 +316,9 @@
                      if (newest.config) {
                        TakeConfig(*newest.config);
                      }
+                     if (newest.epoch_config) {
+                       TakeConfig(*newest.epoch_config);
+                     }
                      if (newest.epoch) {
                        TakeEpoch(*newest.epoch);
                      }
@@ -360,6 +367,11 @@
     loop_.After(kIdleCheck, [this] { StopWhenIdle(); });
   }
 
+  struct KnownConfig {
+    ConfigRecord record;
+    std::shared_ptr<const ActiveConfig> active;
+  };
+
   const EntrySettings settings_;
   const std::uint64_t incarnation_;
   EventLoop loop_;
@@ -371,7 +383,7 @@
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<PlatformAgent> agent_;
   MembershipRunner membership_;
-  std::map<std::int64_t, std::shared_ptr<const ActiveConfig>> configs_;
+  std::map<std::int64_t, KnownConfig> configs_;
   std::optional<EpochRecord> waiting_epoch_;
   NewestState newest_;
   HeadroomPace headroom_pace_;
--- a/src/heather-entry/newest_state.cc
+++ b/src/heather-entry/newest_state.cc
@@ -10,7 +10,8 @@
 std::string NewestState::Encode() const {
   const nlohmann::json state = {
       {"config", config ? EncodeConfig(*config) : ""},
-      {"epoch", epoch ? heatherlever::EncodeEpoch(*epoch) : ""}};
+      {"epoch", epoch ? heatherlever::EncodeEpoch(*epoch) : ""},
+      {"epoch_config", epoch_config ? EncodeConfig(*epoch_config) : ""}};
   return state.dump();
 }
 
@@ -21,6 +22,7 @@
     return state;
   }
   state.config = DecodeConfig(fields.value("config", ""));
+  state.epoch_config = DecodeConfig(fields.value("epoch_config", ""));
   auto epoch = heatherlever::DecodeEpoch(fields.value("epoch", ""));
   if (epoch.ok()) {
     state.epoch = *std::move(epoch);
--- a/src/heather-entry/newest_state.h
+++ b/src/heather-entry/newest_state.h
@@ -14,6 +14,8 @@
 struct NewestState {
   std::optional<heatherlever::ConfigRecord> config;
   std::optional<heatherlever::EpochRecord> epoch;
+  /// The configuration that the epoch names.
+  std::optional<heatherlever::ConfigRecord> epoch_config;
 
   std::string Encode() const;
 
--- a/src/include/heatherlever/pool_options.h
+++ b/src/include/heatherlever/pool_options.h
@@ -70,7 +70,8 @@
   int eject_after_failures = 3;
   /// Multiple of the pool's median latency that ejects a server.
   double eject_latency_multiple = 4;
-  /// Largest share of the pool's servers ejected at the same time.
+  /// Largest share of the pool's servers ejected at the same time; one may be
+  /// in any case while another remains.
   double max_ejected_share = 0.34;
   /// First ejection; each further one lasts twice as long.
   Duration ejection = std::chrono::seconds(1);
--- a/src/libheatherlever/backend_ledger.cc
+++ b/src/libheatherlever/backend_ledger.cc
@@ -272,7 +272,10 @@
       ejected += state.health.ejected() ? 1 : 0;
     }
   }
-  return ejected + 1 <= options_.max_ejected_share * listed;
+  // A small pool may eject one server too, as long as another one remains.
+  const bool first_of_several = ejected == 0 && listed > 1;
+  return first_of_several ||
+         ejected + 1 <= options_.max_ejected_share * listed;
 }
 
 void BackendLedger::CountFailure(BackendIndex index, Instant now) {
