--- a/src/libheatherlever/job_ledger_history_test.cc
+++ b/src/libheatherlever/job_ledger_history_test.cc
@@ -126,7 +126,7 @@
       std::uint32_t weight;
       void (FaultyHistory::*apply)(std::uint32_t);
     };
-    static constexpr std::array<Event, 10> events = {
+    static constexpr std::array<Event, 10> kEvents = {
         {{6, &FaultyHistory::Submit},
          {30, &FaultyHistory::Deliver},
          {8, &FaultyHistory::Dispatch},
@@ -138,7 +138,7 @@
          {1, &FaultyHistory::Leave},
          {3, &FaultyHistory::Duplicate}}};
     std::uint32_t pick = code % kWeights;
-    for (const Event& event : events) {
+    for (const Event& event : kEvents) {
       if (pick < event.weight) {
         (this->*event.apply)(code / kWeights);
         return;
--- a/src/libheatherlever/membership.cc
+++ b/src/libheatherlever/membership.cc
@@ -407,7 +407,7 @@
     return End();
   }
   using Handler = void (Impl::*)(const MembershipMessage&, MembershipMessage&);
-  static constexpr Handler handlers[MembershipMessage::kKindCount] = {
+  static constexpr Handler kHandlers[MembershipMessage::kKindCount] = {
       &Impl::HandleProbe,       &Impl::HandleAck,    &Impl::HandleProbeRequest,
       &Impl::HandleIndirectAck, &Impl::HandleGossip, &Impl::HandleVersions};
 
@@ -421,7 +421,7 @@
   }
   CheckSender(message, reply);
   if (!outdated) {
-    (this->*handlers[static_cast<std::size_t>(message.kind)])(message, reply);
+    (this->*kHandlers[static_cast<std::size_t>(message.kind)])(message, reply);
   }
   if (!IsEmpty(reply)) {
     Send(message.sender, std::move(reply));
