A host that is not ready says unknown, not "not run"

Cause: a retry that meets a host which has just started was told that the job was not run, though an earlier attempt with the same key may have been.

--- a/src/heather-entry/caller_server.cc
+++ b/src/heather-entry/caller_server.cc
@@ -60,6 +60,14 @@
   int status_;
 };
 
+// This host knows nothing yet. An earlier attempt with the same key may have
+// been run elsewhere, so that this is no "not run".
+class NotReadyError : public std::runtime_error {
+ public:
+  NotReadyError()
+      : std::runtime_error("this entry host has no configuration yet") {}
+};
+
 // The HTTP phrase of a status that this server sends.
 std::string TitleOf(int status) {
   static const std::map<int, std::string> titles = {
@@ -195,6 +203,9 @@
       } catch (const CallerError& error) {
         SetProblem(response, error.status(), "not-run", "bad-request",
                    error.what());
+      } catch (const NotReadyError& error) {
+        SetProblem(response, kUnavailable, "unknown", "not-ready",
+                   error.what());
       }
       response.set_header("Heather-Entry-Host", name_);
       --in_progress_;
@@ -213,8 +224,7 @@
 
   void RequireReady() const {
     if (!service_.Ready()) {
-      throw CallerError(kUnavailable,
-                        "this entry host has no configuration yet");
+      throw NotReadyError();
     }
   }
 
--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -189,7 +189,9 @@
   const auto active = config();
   const auto kind = active->KindIndex(request.kind);
   if (!kind) {
-    done(NotRun("kind-removed"));
+    // An earlier attempt with the same key may have been run.
+    done(request.key.empty() ? NotRun("kind-removed")
+                             : Unknown("kind-removed"));
     return;
   }
   if (active->spec.kinds[*kind].idempotent) {
--- a/testsuite/process/answers_test.py
+++ b/testsuite/process/answers_test.py
@@ -54,6 +54,13 @@
                 self.assertIn(word, body["detail"])
             self.assertEqual({}, deployment.runs())
 
+    def test_a_host_without_a_configuration_says_unknown(self):
+        with SmallDeployment() as deployment:
+            deployment.platform_faults(down=True)
+            new = deployment.start_entry("west-new", "west", "west-a", "127.0.1.9")
+            status, headers, body = deployment.work(new, "orders", "b", "early", CALLER["west"])
+            self.assertEqual((503, "unknown", "not-ready"), (status, headers["Heather-Outcome"], body["reason"]))
+
     def test_garbage_on_every_port_disturbs_nothing(self):
         with SmallDeployment() as deployment:
             entry = deployment.entries["west-a"]
