--- a/testsuite/harness/heather_harness.py
+++ b/testsuite/harness/heather_harness.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -70,10 +71,30 @@
             raise HarnessError(f"{self.name} did not stop within {STOP_TIMEOUT_S} s") from None
 
 
+class SourceConnection(http.client.HTTPConnection):
+    """A connection from a given address. The system picks the port when it connects, not when it binds, as bound ports
+    run out in a flood: each stays taken for a minute after its connection has ended."""
+
+    # linux/in.h; Python's socket module has no name for it.
+    IP_BIND_ADDRESS_NO_PORT = 24
+
+    def __init__(self, address, port, source, timeout):
+        super().__init__(address, port, timeout=timeout)
+        self.source = source
+
+    def connect(self):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.settimeout(self.timeout)
+        if self.source:
+            self.sock.setsockopt(socket.IPPROTO_IP, self.IP_BIND_ADDRESS_NO_PORT, 1)
+            self.sock.bind((self.source, 0))
+        self.sock.connect((self.host, self.port))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def http_json(address, port, method, path, body=None, headers=None, source=None, timeout=10):
     """One HTTP request; returns status, headers and the decoded body (text if it is no JSON)."""
-    connection = http.client.HTTPConnection(
-        address, port, timeout=timeout, source_address=(source, 0) if source else None)
+    connection = SourceConnection(address, port, source, timeout)
     try:
         connection.request(method, path, body=body, headers=headers or {})
         answer = connection.getresponse()
