Say once what stood several times: files, listening, errors, counts

Found by reading the whole change; behaviour stays as it is. ReadTextFile serves five places that read a file. The stand-ins' server listens as HttpServer does. CallerError carries the outcome and reason of its answer in place of a special class beside it. The router's state is no longer printed, parsed and printed again. Both sides of a peer connection counted broken connections by the same overrides; the base class counts them, and the fake in the test loses its two empty overrides.

--- a/src/heather-entry/caller_server.cc
+++ b/src/heather-entry/caller_server.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 #include "heather-entry/caller_service.h"
 #include "heather-entry/entry_metrics.h"
@@ -49,23 +50,25 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-// A request that cannot be taken, with its HTTP status.
+// A request that cannot be taken, with what its answer says.
 class CallerError : public std::runtime_error {
  public:
-  CallerError(int status, const std::string& detail)
-      : std::runtime_error(detail), status_(status) {}
+  CallerError(int status,
+              const std::string& detail,
+              std::string outcome = "not-run",
+              std::string reason = "bad-request")
+      : std::runtime_error(detail),
+        status_(status),
+        outcome_(std::move(outcome)),
+        reason_(std::move(reason)) {}
   int status() const { return status_; }
+  const std::string& outcome() const { return outcome_; }
+  const std::string& reason() const { return reason_; }
 
  private:
   int status_;
-};
-
-// This host knows nothing yet. An earlier attempt with the same key may have
-// been run elsewhere, so that this is no "not run".
-class NotReadyError : public std::runtime_error {
- public:
-  NotReadyError()
-      : std::runtime_error("this entry host has no configuration yet") {}
+  std::string outcome_;
+  std::string reason_;
 };
 
 // The HTTP phrase of a status that this server sends.
@@ -201,10 +204,7 @@
         }
         (this->*handler)(request, response);
       } catch (const CallerError& error) {
-        SetProblem(response, error.status(), "not-run", "bad-request",
-                   error.what());
-      } catch (const NotReadyError& error) {
-        SetProblem(response, kUnavailable, "unknown", "not-ready",
+        SetProblem(response, error.status(), error.outcome(), error.reason(),
                    error.what());
       }
       response.set_header("Heather-Entry-Host", name_);
@@ -224,7 +224,11 @@
 
   void RequireReady() const {
     if (!service_.Ready()) {
-      throw NotReadyError();
+      // An earlier attempt with the same key may have been run elsewhere, so
+      // that this is no "not run".
+      throw CallerError(kUnavailable,
+                        "this entry host has no configuration yet", "unknown",
+                        "not-ready");
     }
   }
 
--- a/src/heather-entry/entry_host.cc
+++ b/src/heather-entry/entry_host.cc
@@ -179,7 +179,7 @@
 
   // The router's state and the bytes of the peers' connections since the start.
   std::string DumpState() const {
-    nlohmann::json state = nlohmann::json::parse(router_.DumpState());
+    nlohmann::json state = router_.State();
     const heathernet::PeerStats& stats = peers_->stats();
     state["peer_bytes_in"] = stats.bytes_in;
     state["peer_bytes_out"] = stats.bytes_out;
--- a/src/heather-entry/router.cc
+++ b/src/heather-entry/router.cc
@@ -567,7 +567,7 @@
   return directory_.HeardCount(EventLoop::Now());
 }
 
-std::string Router::DumpState() const {
+nlohmann::json Router::State() const {
   nlohmann::json pools = nlohmann::json::array();
   for (const auto& [name, pool] : pools_.pools()) {
     const auto summary = pool->Summary();
@@ -580,19 +580,17 @@
                      {"headroom", summary.headroom}});
   }
   const auto active = config();
-  const nlohmann::json state = {
-      {"name", self_},
-      {"region", region_},
-      {"leaving", leaving_},
-      {"in_progress", in_progress_},
-      {"config_version", active ? active->version : 0},
-      {"config_digest", active ? active->digest : ""},
-      {"epoch", directory_.epoch().number},
-      {"members", directory_.epoch().members.size()},
-      {"silent_members", directory_.SilentCount("", EventLoop::Now())},
-      {"pools", pools},
-      {"jobs", jobs_.Dump()}};
-  return state.dump(2);
+  return {{"name", self_},
+          {"region", region_},
+          {"leaving", leaving_},
+          {"in_progress", in_progress_},
+          {"config_version", active ? active->version : 0},
+          {"config_digest", active ? active->digest : ""},
+          {"epoch", directory_.epoch().number},
+          {"members", directory_.epoch().members.size()},
+          {"silent_members", directory_.SilentCount("", EventLoop::Now())},
+          {"pools", pools},
+          {"jobs", jobs_.Dump()}};
 }
 
 std::vector<std::string> Router::Explain(const std::string& kind,
--- a/src/heather-entry/router.h
+++ b/src/heather-entry/router.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -85,8 +86,8 @@
   /// Whether every request has ended.
   bool idle() const;
 
-  /// The state as JSON, for operators.
-  std::string DumpState() const;
+  /// The whole state, for operators.
+  nlohmann::json State() const;
 
   /// Why a request would go where it would go, as lines of text.
   std::vector<std::string> Explain(const std::string& kind,
--- a/src/heather-load/load_plan.cc
+++ b/src/heather-load/load_plan.cc
@@ -1,13 +1,12 @@
 #include "heather-load/load_plan.h"
 
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
 #include "heatherlever/deployment_loader.h"
 #include "heatherlever/ipv4.h"
 #include "heatherlever/nearest_word.h"
 #include "heatherlever/settings_error.h"
+#include "libheatherlever/text_file.h"
 #include "libheatherlever/yaml_map.h"
 
 namespace heather_load {
@@ -26,13 +25,11 @@
                                             const std::string& path) {
   const auto file =
       std::filesystem::path(path).parent_path() / map.Text("deployment");
-  std::ifstream stream(file);
-  if (!stream) {
+  const auto text = heatherlever::ReadTextFile(file.string());
+  if (!text) {
     map.Fail("deployment", "the file " + file.string() + " cannot be read");
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  auto spec = heatherlever::LoadDeployment(text.str(), file.string());
+  auto spec = heatherlever::LoadDeployment(*text, file.string());
   if (!spec.ok()) {
     map.Fail("deployment", std::string(spec.status().message()));
   }
--- a/src/heather-scenario/main.cc
+++ b/src/heather-scenario/main.cc
@@ -1,13 +1,14 @@
 // Runs a script over one model of the decision library, in virtual time.
 
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
 #include <sstream>
+#include <utility>
 
 #include "heather-scenario/parse_duration.h"
 #include "heather-scenario/scenario_error.h"
 #include "heather-scenario/scenario_model.h"
+#include "libheatherlever/text_file.h"
 #include "libheathernet/program.h"
 
 namespace heather_scenario {
@@ -16,13 +17,11 @@
 constexpr int kExitDifferent = 1;
 
 std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
+  auto text = heatherlever::ReadTextFile(path);
+  if (!text) {
     throw ScenarioError("cannot read '" + path + "'");
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
+  return *std::move(text);
 }
 
 std::vector<std::string> Words(const std::string& line) {
--- a/src/heather-standin/standin_server.cc
+++ b/src/heather-standin/standin_server.cc
@@ -6,20 +6,17 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <chrono>
+#include <stdexcept>
 
 #include "heather-standin/socket_stream.h"
 #include "heather-standin/standin_error.h"
-#include "libheathernet/connection_threads.h"
 
 namespace heather_standin {
 namespace {
 
 constexpr std::size_t kMaxConnections = 20'000;
-constexpr int kListenBacklog = 1'024;
 constexpr int kIdleConnectionTimeoutSeconds = 600;
 constexpr std::size_t kRequestsPerConnection = 1'000'000;
-constexpr auto kStartPollInterval = std::chrono::milliseconds(1);
 
 // The connection whose request the current thread handles. httplib hands no
 // connection to its handlers.
@@ -32,10 +29,7 @@
 
 }  // namespace
 
-StandinServer::StandinServer() {
-  new_task_queue = [] {
-    return new heathernet::ConnectionThreads(kMaxConnections);
-  };
+StandinServer::StandinServer() : HttpServer(kMaxConnections) {
   set_keep_alive_timeout(kIdleConnectionTimeoutSeconds);
   set_keep_alive_max_count(kRequestsPerConnection);
 }
@@ -46,27 +40,15 @@
 
 std::uint16_t StandinServer::Start(const std::string& address,
                                    std::uint16_t port) {
-  int bound = port;
-  if (port == 0) {
-    bound = bind_to_any_port(address);
-  } else if (!bind_to_port(address, port)) {
-    bound = -1;
+  try {
+    return HttpServer::Start(address, port);
+  } catch (const std::runtime_error& error) {
+    throw StandinError(error.what());
   }
-  if (bound <= 0) {
-    throw StandinError("cannot listen on " + address + ":" +
-                       std::to_string(port));
-  }
-  // httplib listens with a backlog of 5, which drops bursts of connections.
-  ::listen(svr_sock_, kListenBacklog);
-  listener_ = std::thread([this] { listen_after_bind(); });
-  while (!is_running()) {
-    std::this_thread::sleep_for(kStartPollInterval);
-  }
-  return static_cast<std::uint16_t>(bound);
 }
 
 void StandinServer::Stop() {
-  if (!listener_.joinable()) {
+  if (!started()) {
     return;
   }
   stopping_ = true;
@@ -77,7 +59,7 @@
       ::shutdown(connection, SHUT_RD);
     }
   }
-  listener_.join();
+  JoinListener();
 }
 
 StandinServer::ConnectionCounts StandinServer::connection_counts() {
--- a/src/heather-standin/standin_server.h
+++ b/src/heather-standin/standin_server.h
@@ -1,21 +1,20 @@
 #ifndef HEATHER_STANDIN_STANDIN_SERVER_H_
 #define HEATHER_STANDIN_STANDIN_SERVER_H_
 
-#include <httplib.h>
-
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
 #include <set>
 #include <string>
-#include <thread>
+
+#include "libheathernet/http_server.h"
 
 namespace heather_standin {
 
 /// An HTTP server on its own threads that can break connections on purpose
 /// and limits how many it accepts.
-class StandinServer : public httplib::Server {
+class StandinServer : public heathernet::HttpServer {
  public:
   struct ConnectionCounts {
     std::size_t open = 0;
@@ -58,7 +57,6 @@
   std::mutex mutex_;
   std::set<socket_t> connections_;
   ConnectionCounts counts_;
-  std::thread listener_;
 };
 
 }  // namespace heather_standin
--- a/src/heatherctl/platform_access.cc
+++ b/src/heatherctl/platform_access.cc
@@ -3,13 +3,13 @@
 #include <unistd.h>
 
 #include <charconv>
-#include <fstream>
 #include <random>
-#include <sstream>
+#include <utility>
 
 #include "heatherlever/ipv4.h"
 #include "heathernet/platform_client.h"
 #include "heathernet/platform_settings.h"
+#include "libheatherlever/text_file.h"
 
 namespace heatherctl {
 namespace {
@@ -48,13 +48,11 @@
 }
 
 std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
+  auto text = heatherlever::ReadTextFile(path);
+  if (!text) {
     throw InputError(path + ": the file cannot be read");
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
+  return *std::move(text);
 }
 
 }  // namespace heatherctl
--- a/src/libheatherlever/state_chart.cc
+++ b/src/libheatherlever/state_chart.cc
@@ -1,11 +1,10 @@
 #include "heatherlever/state_chart.h"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 #include "built_in_chart.h"
 #include "chart_error.h"
+#include "libheatherlever/text_file.h"
 #include "state_chart_reader.h"
 
 namespace heatherlever {
@@ -20,13 +19,11 @@
 }
 
 absl::StatusOr<StateChart> StateChart::Load(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
+  const auto text = ReadTextFile(path);
+  if (!text) {
     return absl::NotFoundError("cannot read state chart '" + path + "'");
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return Parse(text.str(), path);
+  return Parse(*text, path);
 }
 
 absl::StatusOr<StateChart> StateChart::BuiltIn(std::string_view name) {
--- a/src/libheatherlever/yaml_map.cc
+++ b/src/libheatherlever/yaml_map.cc
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <map>
-#include <sstream>
 
 #include "heatherlever/ipv4.h"
 #include "heatherlever/nearest_word.h"
 #include "heatherlever/settings_error.h"
+#include "libheatherlever/text_file.h"
 
 namespace heatherlever {
 namespace {
@@ -45,13 +44,11 @@
 }
 
 YamlMap YamlMap::ParseFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
+  const auto text = ReadTextFile(path);
+  if (!text) {
     throw SettingsError(path, 0, "the file cannot be read");
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return Parse(text.str(), path);
+  return Parse(*text, path);
 }
 
 void YamlMap::Fail(const std::string& key, const std::string& message) const {
--- a/src/libheathernet/http2_connection.cc
+++ b/src/libheathernet/http2_connection.cc
@@ -66,7 +66,7 @@
     // nghttp2 ends the session by itself when the peer breaks the protocol.
     if (frame->hd.type == NGHTTP2_GOAWAY &&
         frame->goaway.error_code != NGHTTP2_NO_ERROR) {
-      connection.OnGarbage();
+      connection.CountGarbage();
     }
     connection.OnFrameSent(*frame);
     return 0;
@@ -209,7 +209,7 @@
           return;
         }
         if (error) {
-          self->OnBroken();
+          self->CountBroken();
           self->Close();
           return;
         }
@@ -222,7 +222,7 @@
   const ssize_t consumed = nghttp2_session_mem_recv(
       session(), reinterpret_cast<const std::uint8_t*>(input_.data()), bytes);
   if (consumed < 0) {
-    OnGarbage();
+    CountGarbage();
     Close();
     return;
   }
@@ -274,7 +274,7 @@
           return;
         }
         if (error) {
-          self->OnBroken();
+          self->CountBroken();
           self->Close();
           return;
         }
@@ -316,6 +316,14 @@
   });
 }
 
+void Http2Connection::CountGarbage() {
+  ++context().stats.garbage;
+}
+
+void Http2Connection::CountBroken() {
+  ++context().stats.dropped_by_peer;
+}
+
 void Http2Connection::Close() {
   if (closed_) {
     return;
--- a/src/libheathernet/http2_connection.h
+++ b/src/libheathernet/http2_connection.h
@@ -82,10 +82,6 @@
   /// The body to send on a stream; null if the stream is gone.
   virtual OutgoingBody* FindOutgoingBody(std::int32_t stream) = 0;
   virtual void OnTick(heatherlever::Instant now) = 0;
-  /// The peer broke the protocol; the connection closes soon.
-  virtual void OnGarbage() = 0;
-  /// The peer closed or broke the connection; Close() follows.
-  virtual void OnBroken() = 0;
   /// The connection has closed.
   virtual void OnClosed() = 0;
 
@@ -101,6 +97,10 @@
   heatherlever::Duration WriteAge(heatherlever::Instant now) const;
 
  private:
+  // The peer broke the protocol; the connection closes soon.
+  void CountGarbage();
+  // The peer closed or broke the connection; Close() follows.
+  void CountBroken();
   friend struct Http2Callbacks;
   struct SessionDeleter {
     void operator()(nghttp2_session* session) const {
--- a/src/libheathernet/http_server.cc
+++ b/src/libheathernet/http_server.cc
@@ -23,6 +23,10 @@
 
 HttpServer::~HttpServer() {
   stop();
+  JoinListener();
+}
+
+void HttpServer::JoinListener() {
   if (listener_.joinable()) {
     listener_.join();
   }
--- a/src/libheathernet/http_server.h
+++ b/src/libheathernet/http_server.h
@@ -24,6 +24,13 @@
   /// takes a free one. Throws std::runtime_error if it cannot be listened on.
   std::uint16_t Start(const std::string& address, std::uint16_t port);
 
+ protected:
+  /// Whether Start() succeeded and JoinListener() was not called since.
+  bool started() const { return listener_.joinable(); }
+
+  /// Waits until the server has stopped; to be called after stop().
+  void JoinListener();
+
  private:
   std::thread listener_;
 };
--- a/src/libheathernet/peer_client_connection.cc
+++ b/src/libheathernet/peer_client_connection.cc
@@ -310,14 +310,6 @@
   }
 }
 
-void PeerClientConnection::OnGarbage() {
-  ++context().stats.garbage;
-}
-
-void PeerClientConnection::OnBroken() {
-  ++context().stats.dropped_by_peer;
-}
-
 void PeerClientConnection::OnClosed() {
   connect_deadline_.Cancel();
   const auto streams = std::exchange(streams_, {});
--- a/src/libheathernet/peer_client_connection.h
+++ b/src/libheathernet/peer_client_connection.h
@@ -47,8 +47,6 @@
   void OnStreamClosed(std::int32_t stream, std::uint32_t error_code) override;
   OutgoingBody* FindOutgoingBody(std::int32_t stream) override;
   void OnTick(heatherlever::Instant now) override;
-  void OnGarbage() override;
-  void OnBroken() override;
   void OnClosed() override;
 
  private:
--- a/src/libheathernet/peer_server_connection.cc
+++ b/src/libheathernet/peer_server_connection.cc
@@ -259,14 +259,6 @@
   }
 }
 
-void PeerServerConnection::OnGarbage() {
-  ++context().stats.garbage;
-}
-
-void PeerServerConnection::OnBroken() {
-  ++context().stats.dropped_by_peer;
-}
-
 void PeerServerConnection::OnClosed() {
   while (!streams_.empty()) {
     Cancel(Remove(streams_.begin()));
--- a/src/libheathernet/peer_transport_test.cc
+++ b/src/libheathernet/peer_transport_test.cc
@@ -505,8 +505,6 @@
   void OnStreamClosed(std::int32_t, std::uint32_t) override {}
   OutgoingBody* FindOutgoingBody(std::int32_t) override { return &body_; }
   void OnTick(heatherlever::Instant) override {}
-  void OnGarbage() override {}
-  void OnBroken() override {}
   void OnClosed() override {}
 
  private:
