--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -3,14 +3,25 @@
 find_package(Threads REQUIRED)
 find_package(absl REQUIRED)
 find_package(cxxopts REQUIRED)
-find_package(GTest REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(PkgConfig REQUIRED)
-find_package(rapidcheck REQUIRED)
 find_package(spdlog REQUIRED)
-find_package(yaml-cpp REQUIRED)
 
-pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
-pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
-pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+
+# Debian's package has neither a CMake nor a pkg-config file.
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
+find_path(HTTP_PARSER_INCLUDE_DIR http_parser.h REQUIRED)
+add_library(http_parser UNKNOWN IMPORTED)
+set_target_properties(http_parser PROPERTIES
+  IMPORTED_LOCATION "${HTTP_PARSER_LIBRARY}"
+  INTERFACE_INCLUDE_DIRECTORIES "${HTTP_PARSER_INCLUDE_DIR}")
+
+if(NOT HEATHER_PLATFORM_ONLY)
+  find_package(GTest REQUIRED)
+  find_package(rapidcheck REQUIRED)
+  find_package(yaml-cpp REQUIRED)
+  pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
+  pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
+  pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
+endif()
--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -1,6 +1,8 @@
 # Helpers that declare the project's programs and unit tests.
 
-include(GoogleTest)
+if(HEATHER_TESTS)
+  include(GoogleTest)
+endif()
 
 # heather_add_program(NAME): a program from every source in the current folder
 # but for the unit tests.
--- /dev/null
+++ b/src/include/heathergate/gateway.h
@@ -0,0 +1,93 @@
+#ifndef HEATHERGATE_GATEWAY_H_
+#define HEATHERGATE_GATEWAY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "heathergate/gateway_counters.h"
+#include "heathergate/gateway_options.h"
+#include "heathergate/http_client.h"
+#include "heathergate/timer.h"
+#include "heathersteer/placement.h"
+#include "heathersteer/retry_budget.h"
+#include "heathersteer/route_table.h"
+#include "heathersteer/server_table.h"
+#include "heathersteer/traffic_split.h"
+#include "heathersteer/wait_queue.h"
+
+namespace heathersteer {
+struct TrafficConfig;
+}  // namespace heathersteer
+
+namespace heathergate {
+
+class EventLoop;
+class ForwardedRequest;
+class HttpExchange;
+
+/// Forwards clients' requests to backend servers by the configuration in force.
+class Gateway {
+ public:
+  Gateway(EventLoop& loop, GatewayOptions options);
+  ~Gateway();
+
+  void Handle(const std::shared_ptr<HttpExchange>& exchange);
+
+  /// Takes a configuration into force if its version is above the present one.
+  void ApplyConfig(std::shared_ptr<const heathersteer::TrafficConfig> config);
+
+  /// Number of entry hosts, which share budgets and rates.
+  void SetHosts(int hosts);
+
+  heathersteer::ServerTable& servers() { return servers_; }
+
+  /// Places waiting requests anew, after servers or drains changed.
+  void RetryWaiting();
+
+  /// nullptr before the first configuration.
+  const heathersteer::TrafficConfig* config() const { return config_.get(); }
+
+  /// Requests that have no answer yet.
+  std::size_t active() const { return active_.size(); }
+
+  const GatewayCounters& counters() const { return counters_; }
+
+ private:
+  friend class ForwardedRequest;
+
+  heathersteer::RetryBudget& Budget(const std::string& service);
+  void Retain(const std::shared_ptr<ForwardedRequest>& request);
+  void Release(ForwardedRequest* request);
+  std::uint64_t Wait(ForwardedRequest* request,
+                     const std::string& service,
+                     int rank);
+  void StopWaiting(std::uint64_t ticket);
+  void OnRoom(const std::string& service);
+  void StartTick();
+  double Random();
+
+  EventLoop& loop_;
+  GatewayOptions options_;
+  HttpClient client_;
+  heathersteer::Placement placement_;
+  heathersteer::ServerTable servers_;
+  heathersteer::TrafficSplit split_;
+  heathersteer::WaitQueue queue_;
+  std::shared_ptr<const heathersteer::TrafficConfig> config_;
+  std::shared_ptr<const heathersteer::RouteTable> routes_;
+  std::map<std::string, heathersteer::RetryBudget> budgets_;
+  std::map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
+  std::map<std::uint64_t, ForwardedRequest*> waiting_;
+  GatewayCounters counters_;
+  std::mt19937_64 random_;
+  Timer tick_;
+  bool ticking_ = false;
+  int hosts_ = 1;
+};
+
+}  // namespace heathergate
+
+#endif  // HEATHERGATE_GATEWAY_H_
--- /dev/null
+++ b/src/include/heathergate/http_head.h
@@ -0,0 +1,40 @@
+#ifndef HEATHERGATE_HTTP_HEAD_H_
+#define HEATHERGATE_HTTP_HEAD_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathergate {
+
+/// One header field, as it was sent.
+struct HeaderField {
+  std::string name;
+  std::string value;
+};
+
+/// Start line and header fields of an HTTP/1.1 message.
+struct HttpHead {
+  /// Requests only.
+  std::string method;
+  std::string target;
+  /// Responses only.
+  int status = 0;
+  std::vector<HeaderField> fields;
+  /// Whether the sender keeps the connection open after this message.
+  bool keep_alive = true;
+
+  /// Value of the first field of that name, in any case; nullptr if absent.
+  const std::string* Find(std::string_view name) const;
+};
+
+/// Whether two header names are equal but for case.
+bool SameName(std::string_view a, std::string_view b);
+
+/// Whether a field concerns only one connection and is not forwarded.
+/// `connection` is the value of the message's Connection field, if any.
+bool IsConnectionField(std::string_view name, const std::string* connection);
+
+}  // namespace heathergate
+
+#endif  // HEATHERGATE_HTTP_HEAD_H_
--- /dev/null
+++ b/src/include/heathersteer/placement.h
@@ -0,0 +1,75 @@
+#ifndef HEATHERSTEER_PLACEMENT_H_
+#define HEATHERSTEER_PLACEMENT_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "heatherlever/instant.h"
+#include "heathersteer/placement_options.h"
+#include "heathersteer/server_table.h"
+
+namespace heathersteer {
+
+struct Route;
+struct Service;
+
+/// What a request needs to be placed.
+struct PlacementRequest {
+  const Route* route = nullptr;
+  const Service* service = nullptr;
+  /// Identifies the object that the request concerns; empty if it has none.
+  std::string_view affinity_key;
+  /// Servers that have had the request already.
+  const std::vector<std::string>* tried = nullptr;
+};
+
+/// Where a request goes, or why it goes nowhere now.
+struct PlacementChoice {
+  /// nullptr if no server has room.
+  std::shared_ptr<ServerState> server;
+  /// Usable servers, with or without room.
+  int candidates = 0;
+};
+
+/// Chooses a backend server for a request: rendezvous hashing by affinity key
+/// over the service's servers, near ones weighted higher, with bounded load.
+class Placement {
+ public:
+  explicit Placement(PlacementOptions options) : options_(std::move(options)) {}
+
+  PlacementChoice Choose(const ServerTable& table,
+                         const PlacementRequest& request,
+                         heatherlever::Instant now) const;
+
+  /// Counts a request that is sent to a server.
+  void Commit(ServerState& server,
+              const Service& service,
+              heatherlever::Instant now) const;
+
+  /// Number of hosts that share the rate of cold servers.
+  void set_hosts(int hosts) { options_.hosts = hosts; }
+
+  /// Most requests that `server` is to hold at a time for `route`.
+  double Limit(const ServerState& server,
+               const Route& route,
+               heatherlever::Instant now) const;
+
+ private:
+  struct Candidate {
+    std::shared_ptr<ServerState> server;
+    double score = 0;
+  };
+
+  std::vector<Candidate> Rank(const ServerTable& table,
+                              const PlacementRequest& request,
+                              heatherlever::Instant now) const;
+  double Weight(const ServerState& server, heatherlever::Instant now) const;
+
+  PlacementOptions options_;
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_PLACEMENT_H_
--- /dev/null
+++ b/src/include/heathersteer/server_load.h
@@ -0,0 +1,34 @@
+#ifndef HEATHERSTEER_SERVER_LOAD_H_
+#define HEATHERSTEER_SERVER_LOAD_H_
+
+#include "heatherlever/instant.h"
+
+namespace heathersteer {
+
+/// Estimates how many requests a backend server holds: this host's own,
+/// exactly, and those of other hosts by the server's last report.
+class ServerLoad {
+ public:
+  void Sent() { ++own_; }
+
+  /// The answer of an own request has come or its connection is closed.
+  void Finished() { --own_; }
+
+  /// The server reported, with an answer that is still counted as own, how many
+  /// requests it runs and queues.
+  void Report(int running, int waiting, heatherlever::Instant now);
+
+  /// Requests at the server, estimated.
+  double Estimate(heatherlever::Instant now) const;
+
+  int own() const { return own_; }
+
+ private:
+  int own_ = 0;
+  double others_ = 0;
+  heatherlever::Instant reported_at_{0};
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_SERVER_LOAD_H_
--- /dev/null
+++ b/src/include/heathersteer/server_state.h
@@ -0,0 +1,30 @@
+#ifndef HEATHERSTEER_SERVER_STATE_H_
+#define HEATHERSTEER_SERVER_STATE_H_
+
+#include "heatherlever/instant.h"
+#include "heathersteer/backend_server.h"
+#include "heathersteer/server_evidence.h"
+#include "heathersteer/server_load.h"
+#include "heathersteer/token_pace.h"
+
+namespace heathersteer {
+
+/// A backend server together with what this host knows of it.
+struct ServerState {
+  BackendServer server;
+  ServerLoad load;
+  ServerEvidence evidence;
+  /// This host's share of the requests that the server takes while cold.
+  TokenPace cold_pace;
+  /// Whether the platform's list still names the server.
+  bool listed = true;
+
+  /// Whether the server bears only the rate of a cold one.
+  bool cold(heatherlever::Instant now) const {
+    return now < server.cold_until || evidence.on_probation(now);
+  }
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_SERVER_STATE_H_
--- /dev/null
+++ b/src/include/heathersteer/traffic_split.h
@@ -0,0 +1,31 @@
+#ifndef HEATHERSTEER_TRAFFIC_SPLIT_H_
+#define HEATHERSTEER_TRAFFIC_SPLIT_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathersteer {
+
+struct Route;
+
+/// Distributes the requests of a route over its services by weight. Requests
+/// with the same affinity key stay with one service while the shares allow it.
+class TrafficSplit {
+ public:
+  /// The route's service for the next request. The route has at least one.
+  const std::string& Choose(const Route& route, std::string_view affinity_key);
+
+ private:
+  struct Shares {
+    std::vector<double> weights;
+    std::vector<double> sent;
+  };
+
+  std::map<std::string, Shares, std::less<>> by_route_;
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_TRAFFIC_SPLIT_H_
--- /dev/null
+++ b/src/libheathergate/forwarded_request.cc
@@ -0,0 +1,387 @@
+#include "libheathergate/forwarded_request.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+#include "heathergate/event_loop.h"
+#include "heathergate/gateway.h"
+#include "heathergate/http_exchange.h"
+#include "heathersteer/rejection.h"
+#include "libheathergate/load_report.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+using heathersteer::AttemptOutcome;
+using heathersteer::NextStep;
+
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+// Time beyond the route's timeout for a backend server's own answer at it.
+constexpr Duration kTimeoutSlack = std::chrono::milliseconds(100);
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+// Statuses that state, towards clients, that a request has not run.
+bool StatesNotRun(int status) {
+  return status == kTooManyRequests || status == kUnavailable ||
+         status == kMisdirected || status == 408;
+}
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+std::string FieldOr(const HttpHead& head, const std::string& name) {
+  const std::string* value = head.Find(name);
+  return value == nullptr ? std::string() : *value;
+}
+
+// The time left that the client states; `otherwise` if it states none.
+Duration StatedTimeLeft(const std::string& text, Duration otherwise) {
+  double ms = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (text.empty() || error != std::errc() ||
+      end != text.data() + text.size() || ms < 0) {
+    return otherwise;
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(std::min(ms, 1e9)));
+}
+
+}  // namespace
+
+ForwardedRequest::ForwardedRequest(
+    Gateway& gateway,
+    EventLoop& loop,
+    std::shared_ptr<HttpExchange> exchange,
+    std::shared_ptr<const heathersteer::TrafficConfig> config,
+    const heathersteer::Route& route,
+    const heathersteer::Service& service)
+    : gateway_(gateway),
+      loop_(loop),
+      exchange_(std::move(exchange)),
+      config_(std::move(config)),
+      route_(route),
+      service_(service),
+      policy_(route.idempotent, route.max_attempts),
+      deadline_timer_(loop),
+      hold_timer_(loop) {
+  const HeaderNames& names = gateway_.options_.names;
+  id_ = FieldOr(exchange_->head(), names.request_id);
+  affinity_key_ = FieldOr(exchange_->head(), names.affinity_key);
+  const Instant now = exchange_->received();
+  const Duration left = StatedTimeLeft(
+      FieldOr(exchange_->head(), names.time_left), route_.timeout);
+  client_deadline_ = now + left;
+  deadline_ = now + std::min(left, route_.timeout);
+}
+
+void ForwardedRequest::Start() {
+  exchange_->OnAbandoned([self = weak_from_this()] {
+    if (const auto request = self.lock()) {
+      request->OnAbandoned();
+    }
+  });
+  const Instant last = std::min(client_deadline_, deadline_ + kTimeoutSlack);
+  deadline_timer_.Start(last - EventLoop::Now(), [this] { OnDeadline(); });
+  gateway_.Budget(service_.name).CountRequest(EventLoop::Now());
+  Place();
+}
+
+void ForwardedRequest::Place() {
+  if (TryPlace() || ended_) {
+    return;
+  }
+  ticket_ = gateway_.Wait(this, service_.name, route_.rank);
+  hold_timer_.Start(heathersteer::LongestHold(route_), [this] {
+    if (policy_.WithoutRepeat() == NextStep::kFail) {
+      Fail(kBadGateway, "no room for a repeat");
+    } else {
+      Reject("no room");
+    }
+  });
+}
+
+bool ForwardedRequest::TryPlace() {
+  const Instant now = EventLoop::Now();
+  const heathersteer::PlacementRequest wanted{
+      .route = &route_,
+      .service = &service_,
+      .affinity_key = affinity_key_.empty() ? std::string_view(id_)
+                                            : std::string_view(affinity_key_),
+      .tried = &tried_};
+  const auto choice =
+      gateway_.placement_.Choose(gateway_.servers_, wanted, now);
+  if (choice.server == nullptr) {
+    return false;
+  }
+  if (ticket_ != 0) {
+    gateway_.StopWaiting(std::exchange(ticket_, 0));
+    hold_timer_.Cancel();
+  }
+  Send(choice.server);
+  return true;
+}
+
+void ForwardedRequest::Send(std::shared_ptr<heathersteer::ServerState> server) {
+  server_ = std::move(server);
+  sent_at_ = EventLoop::Now();
+  gateway_.placement_.Commit(*server_, service_, sent_at_);
+  ++gateway_.counters_.sends;
+  const heathersteer::BackendServer& target = server_->server;
+  // A timer or the client may end the request while the call is on its way, so
+  // the call holds no reference to it.
+  call_ = gateway_.client_.Send({target.id, target.address, target.port},
+                                MakeHead(target.id), exchange_->body(), id_,
+                                [self = weak_from_this()](CallResult result) {
+                                  if (const auto request = self.lock()) {
+                                    request->OnCallDone(std::move(result));
+                                  }
+                                });
+}
+
+std::string ForwardedRequest::MakeHead(const std::string& server_id) const {
+  const HeaderNames& names = gateway_.options_.names;
+  const HttpHead& head = exchange_->head();
+  const std::string* connection = head.Find("Connection");
+  std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
+  for (const HeaderField& field : head.fields) {
+    if (IsConnectionField(field.name, connection) ||
+        SameName(field.name, names.time_left) ||
+        SameName(field.name, names.target_server)) {
+      continue;
+    }
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  const Duration left = deadline_ - EventLoop::Now();
+  text += names.time_left + ": " +
+          std::to_string(std::max<std::int64_t>(1, Milliseconds(left))) +
+          "\r\n";
+  text += names.target_server + ": " + server_id + "\r\n";
+  if (!exchange_->body().empty() || head.Find("Content-Length") != nullptr ||
+      head.Find("Transfer-Encoding") != nullptr) {
+    text +=
+        "Content-Length: " + std::to_string(exchange_->body().size()) + "\r\n";
+  }
+  return text + "\r\n";
+}
+
+void ForwardedRequest::OnCallDone(CallResult result) {
+  call_ = nullptr;
+  const AttemptOutcome outcome = Judge(result);
+  TakeEvidence(result, outcome);
+  tried_.push_back(server_->server.id);
+  LeaveServer();
+  if (ended_) {
+    return;
+  }
+  Proceed(policy_.After(outcome), result);
+}
+
+AttemptOutcome ForwardedRequest::Judge(const CallResult& result) const {
+  if (result.outcome == CallOutcome::kNotSent) {
+    return AttemptOutcome::kNotSent;
+  }
+  if (result.outcome == CallOutcome::kBroken) {
+    return AttemptOutcome::kBroken;
+  }
+  const HeaderNames& names = gateway_.options_.names;
+  if (result.head.Find(names.not_executed) != nullptr ||
+      result.head.status == kMisdirected) {
+    return AttemptOutcome::kNotExecuted;
+  }
+  // Nobody asked for an encoding, and a server signs its answers.
+  const bool genuine = result.head.Find("Content-Encoding") == nullptr &&
+                       result.head.Find(names.signature) != nullptr &&
+                       result.head.Find(names.request_id) != nullptr;
+  if (IsSuccess(result.head.status) && !genuine) {
+    return AttemptOutcome::kBroken;
+  }
+  return result.head.status >= kFirstServerError ? AttemptOutcome::kServerError
+                                                 : AttemptOutcome::kAnswered;
+}
+
+void ForwardedRequest::TakeEvidence(const CallResult& result,
+                                    AttemptOutcome outcome) {
+  const Instant now = EventLoop::Now();
+  heathersteer::ServerEvidence& evidence = server_->evidence;
+  if (result.outcome != CallOutcome::kAnswered) {
+    ++gateway_.counters_.broken;
+    evidence.Failed(now);
+    return;
+  }
+  const auto load = ParseLoadReport(
+      FieldOr(result.head, gateway_.options_.names.server_load));
+  if (load) {
+    server_->load.Report(load->running, load->waiting, now);
+  }
+  if (outcome != AttemptOutcome::kNotExecuted) {
+    evidence.Answered(now - sent_at_, now);
+    return;
+  }
+  ++gateway_.counters_.refused_by_server;
+  if (result.head.status == kMisdirected) {
+    evidence.Failed(now);
+  } else if (load && load->running < load->slots) {
+    evidence.Refused(now);
+  }
+}
+
+void ForwardedRequest::Proceed(NextStep step, const CallResult& result) {
+  switch (step) {
+    case NextStep::kDeliver:
+      Deliver(result);
+      return;
+    case NextStep::kRepeat:
+      Repeat(result);
+      return;
+    case NextStep::kPlaceAgain:
+      Place();
+      return;
+    case NextStep::kReject:
+      Reject("no server took it");
+      return;
+    case NextStep::kFail:
+      Fail(kBadGateway, "outcome unknown");
+      return;
+  }
+}
+
+void ForwardedRequest::Repeat(const CallResult& result) {
+  const Instant now = EventLoop::Now();
+  if (gateway_.Budget(service_.name).TryRepeat(now, gateway_.hosts_)) {
+    ++gateway_.counters_.repeats;
+    Place();
+    return;
+  }
+  if (result.outcome == CallOutcome::kAnswered && policy_.may_have_run()) {
+    Deliver(result);
+    return;
+  }
+  Proceed(policy_.WithoutRepeat(), result);
+}
+
+void ForwardedRequest::Deliver(const CallResult& result) {
+  const std::string* connection = result.head.Find("Connection");
+  HttpResponse response;
+  response.status = result.head.status;
+  response.body = result.body;
+  const bool changed = StatesNotRun(response.status);
+  if (changed) {
+    // The request has run: a status that states the contrary is not passed on,
+    // nor the signature that belongs to it.
+    response.status = kBadGateway;
+  }
+  for (const HeaderField& field : result.head.fields) {
+    const bool drop =
+        IsConnectionField(field.name, connection) ||
+        (changed && SameName(field.name, gateway_.options_.names.signature));
+    if (!drop) {
+      response.fields.push_back(field);
+    }
+  }
+  ++gateway_.counters_.delivered;
+  Finish(std::move(response), "answered");
+}
+
+void ForwardedRequest::Reject(const char* reason) {
+  const Duration left = client_deadline_ - EventLoop::Now();
+  const Duration pause =
+      heathersteer::RetryAfter(route_, left, gateway_.Random());
+  char seconds[32];
+  std::snprintf(seconds, sizeof(seconds), "%.3f",
+                static_cast<double>(pause.count()) / 1e6);
+  HttpResponse response;
+  response.status = kUnavailable;
+  response.fields.push_back({"Retry-After", seconds});
+  ++gateway_.counters_.rejected;
+  Finish(std::move(response), reason);
+}
+
+void ForwardedRequest::Fail(int status, const char* reason) {
+  HttpResponse response;
+  response.status = status;
+  ++gateway_.counters_.failed;
+  Finish(std::move(response), reason);
+}
+
+void ForwardedRequest::OnDeadline() {
+  const bool sent = call_ != nullptr && call_->sent();
+  if (!sent && !policy_.may_have_run()) {
+    Reject("deadline passed before it was sent");
+    return;
+  }
+  Fail(kGatewayTimeout, "deadline passed");
+}
+
+void ForwardedRequest::OnAbandoned() {
+  ++gateway_.counters_.abandoned;
+  Log(0, "client left");
+  End();
+}
+
+void ForwardedRequest::Finish(HttpResponse response, const char* reason) {
+  if (!id_.empty() &&
+      std::none_of(response.fields.begin(), response.fields.end(),
+                   [&](const HeaderField& field) {
+                     return SameName(field.name,
+                                     gateway_.options_.names.request_id);
+                   })) {
+    response.fields.push_back({gateway_.options_.names.request_id, id_});
+  }
+  Log(response.status, reason);
+  const auto exchange = exchange_;
+  End();
+  exchange->Respond(std::move(response));
+}
+
+void ForwardedRequest::End() {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  deadline_timer_.Cancel();
+  hold_timer_.Cancel();
+  if (ticket_ != 0) {
+    gateway_.StopWaiting(std::exchange(ticket_, 0));
+  }
+  if (const auto call = std::exchange(call_, nullptr)) {
+    call->Cancel();
+    LeaveServer();
+  }
+  gateway_.Release(this);
+}
+
+void ForwardedRequest::LeaveServer() {
+  if (const auto server = std::exchange(server_, nullptr)) {
+    server->load.Finished();
+    gateway_.OnRoom(service_.name);
+  }
+}
+
+void ForwardedRequest::Log(int status, const char* reason) const {
+  const Instant now = EventLoop::Now();
+  spdlog::info(
+      "request id={} route={} rank={} status={} reason=\"{}\" sends={} "
+      "servers={} took_ms={} left_ms={} config={}",
+      id_, route_.name, route_.rank, status, reason, policy_.sends(),
+      fmt::join(tried_, ","), Milliseconds(now - exchange_->received()),
+      Milliseconds(client_deadline_ - now), config_->version);
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/forwarded_request.h
@@ -0,0 +1,82 @@
+#ifndef LIBHEATHERGATE_FORWARDED_REQUEST_H_
+#define LIBHEATHERGATE_FORWARDED_REQUEST_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "heathergate/http_call.h"
+#include "heathergate/http_response.h"
+#include "heathergate/timer.h"
+#include "heatherlever/instant.h"
+#include "heathersteer/attempt_policy.h"
+#include "heathersteer/server_state.h"
+#include "heathersteer/traffic_config.h"
+
+namespace heathergate {
+
+class EventLoop;
+class Gateway;
+class HttpExchange;
+
+/// One client's request on its way through the gateway.
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
+ public:
+  ForwardedRequest(Gateway& gateway,
+                   EventLoop& loop,
+                   std::shared_ptr<HttpExchange> exchange,
+                   std::shared_ptr<const heathersteer::TrafficConfig> config,
+                   const heathersteer::Route& route,
+                   const heathersteer::Service& service);
+
+  void Start();
+
+  /// Sends the request to a server if one has room.
+  bool TryPlace();
+
+ private:
+  void Place();
+  void Send(std::shared_ptr<heathersteer::ServerState> server);
+  std::string MakeHead(const std::string& server_id) const;
+  void OnCallDone(CallResult result);
+  heathersteer::AttemptOutcome Judge(const CallResult& result) const;
+  void TakeEvidence(const CallResult& result,
+                    heathersteer::AttemptOutcome outcome);
+  void Proceed(heathersteer::NextStep step, const CallResult& result);
+  void Repeat(const CallResult& result);
+  void Deliver(const CallResult& result);
+  void Reject(const char* reason);
+  void Fail(int status, const char* reason);
+  void OnDeadline();
+  void OnAbandoned();
+  void Finish(HttpResponse response, const char* reason);
+  void End();
+  void LeaveServer();
+  void Log(int status, const char* reason) const;
+
+  Gateway& gateway_;
+  EventLoop& loop_;
+  std::shared_ptr<HttpExchange> exchange_;
+  // Keeps route_ and service_ alive.
+  std::shared_ptr<const heathersteer::TrafficConfig> config_;
+  const heathersteer::Route& route_;
+  const heathersteer::Service& service_;
+  heathersteer::AttemptPolicy policy_;
+  std::string id_;
+  std::string affinity_key_;
+  heatherlever::Instant client_deadline_{0};
+  heatherlever::Instant deadline_{0};
+  Timer deadline_timer_;
+  Timer hold_timer_;
+  std::uint64_t ticket_ = 0;
+  std::shared_ptr<HttpCall> call_;
+  std::shared_ptr<heathersteer::ServerState> server_;
+  heatherlever::Instant sent_at_{0};
+  std::vector<std::string> tried_;
+  bool ended_ = false;
+};
+
+}  // namespace heathergate
+
+#endif  // LIBHEATHERGATE_FORWARDED_REQUEST_H_
--- /dev/null
+++ b/src/libheathergate/gateway.cc
@@ -0,0 +1,166 @@
+#include "heathergate/gateway.h"
+
+#include <spdlog/spdlog.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <utility>
+#include <vector>
+
+#include "heathergate/event_loop.h"
+#include "heathergate/http_exchange.h"
+#include "heathersteer/traffic_config.h"
+#include "libheathergate/forwarded_request.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// Waiting requests that are tried when a server has room.
+constexpr std::size_t kTriedOnRoom = 8;
+// Pause between tries of waiting requests while no answer comes.
+constexpr Duration kTick = std::chrono::milliseconds(10);
+
+HttpClientOptions ClientOptions(const GatewayOptions& options) {
+  HttpClientOptions client;
+  client.echo_header = options.names.request_id;
+  return client;
+}
+
+HttpResponse PlainResponse(int status) {
+  HttpResponse response;
+  response.status = status;
+  return response;
+}
+
+}  // namespace
+
+Gateway::Gateway(EventLoop& loop, GatewayOptions options)
+    : loop_(loop),
+      options_(std::move(options)),
+      client_(loop, ClientOptions(options_)),
+      placement_(options_.placement),
+      random_(options_.seed),
+      tick_(loop) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::Handle(const std::shared_ptr<HttpExchange>& exchange) {
+  ++counters_.requests;
+  if (config_ == nullptr) {
+    ++counters_.rejected;
+    spdlog::info("request rejected: no configuration is known yet");
+    exchange->Respond(PlainResponse(kUnavailable));
+    return;
+  }
+  const HttpHead& head = exchange->head();
+  const std::string* host = head.Find("Host");
+  const heathersteer::Route* route =
+      host == nullptr ? nullptr : routes_->Find(*host, head.target);
+  if (route == nullptr) {
+    ++counters_.unrouted;
+    spdlog::info("no route for host '{}', target '{}', configuration {}",
+                 host == nullptr ? "" : *host, head.target, config_->version);
+    exchange->Respond(PlainResponse(kNotFound));
+    return;
+  }
+  const std::string* key = head.Find(options_.names.affinity_key);
+  const std::string& service =
+      split_.Choose(*route, key == nullptr ? std::string() : *key);
+  const auto request = std::make_shared<ForwardedRequest>(
+      *this, loop_, exchange, config_, *route, config_->services.at(service));
+  Retain(request);
+  request->Start();
+}
+
+void Gateway::ApplyConfig(
+    std::shared_ptr<const heathersteer::TrafficConfig> config) {
+  if (config_ != nullptr && config->version <= config_->version) {
+    return;
+  }
+  spdlog::info("configuration {} in force: {} routes, {} services; before: {}",
+               config->version, config->routes.size(), config->services.size(),
+               config_ == nullptr ? 0 : config_->version);
+  config_ = std::move(config);
+  routes_ = std::make_shared<heathersteer::RouteTable>(*config_);
+}
+
+void Gateway::SetHosts(int hosts) {
+  hosts_ = hosts;
+  placement_.set_hosts(hosts);
+}
+
+heathersteer::RetryBudget& Gateway::Budget(const std::string& service) {
+  return budgets_.try_emplace(service, options_.retries).first->second;
+}
+
+void Gateway::Retain(const std::shared_ptr<ForwardedRequest>& request) {
+  active_[request.get()] = request;
+}
+
+void Gateway::Release(ForwardedRequest* request) {
+  const auto found = active_.find(request);
+  if (found == active_.end()) {
+    return;
+  }
+  // The request's own functions may still be running: it ends with the last
+  // reference, on the next turn of the loop.
+  const auto last = found->second;
+  active_.erase(found);
+  asio::post(loop_.context(), [last] {});
+}
+
+std::uint64_t Gateway::Wait(ForwardedRequest* request,
+                            const std::string& service,
+                            int rank) {
+  const std::uint64_t ticket = queue_.Add(service, rank);
+  waiting_[ticket] = request;
+  StartTick();
+  return ticket;
+}
+
+void Gateway::StopWaiting(std::uint64_t ticket) {
+  queue_.Remove(ticket);
+  waiting_.erase(ticket);
+}
+
+void Gateway::OnRoom(const std::string& service) {
+  for (const std::uint64_t ticket : queue_.Next(service, kTriedOnRoom)) {
+    const auto found = waiting_.find(ticket);
+    if (found != waiting_.end()) {
+      found->second->TryPlace();
+    }
+  }
+}
+
+void Gateway::StartTick() {
+  if (ticking_) {
+    return;
+  }
+  ticking_ = true;
+  tick_.Start(kTick, [this] {
+    ticking_ = false;
+    RetryWaiting();
+    if (queue_.size() > 0) {
+      StartTick();
+    }
+  });
+}
+
+void Gateway::RetryWaiting() {
+  if (config_ == nullptr) {
+    return;
+  }
+  for (const auto& [name, service] : config_->services) {
+    OnRoom(name);
+  }
+}
+
+double Gateway::Random() {
+  return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/http_client.cc
@@ -0,0 +1,89 @@
+#include "heathergate/http_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "heathergate/event_loop.h"
+#include "libheathergate/http_connection.h"
+
+namespace heathergate {
+
+HttpClient::HttpClient(EventLoop& loop, HttpClientOptions options)
+    : loop_(loop), options_(std::move(options)) {}
+
+HttpClient::~HttpClient() {
+  while (!idle_.empty()) {
+    Forget(idle_.begin()->first);
+  }
+}
+
+std::shared_ptr<HttpCall> HttpClient::Send(const HttpPeer& peer,
+                                           std::string head,
+                                           const std::string& body,
+                                           const std::string& echo,
+                                           HttpCall::Done done) {
+  auto call = std::make_shared<HttpCall>(std::move(done));
+  head += body;
+  if (const auto kept = TakeIdle(peer.name)) {
+    kept->Start(call, std::move(head), echo);
+    return call;
+  }
+  const auto fresh = std::make_shared<HttpConnection>(*this, loop_, peer);
+  fresh->Open(call, std::move(head), echo);
+  return call;
+}
+
+std::shared_ptr<HttpConnection> HttpClient::TakeIdle(
+    const std::string& peer_name) {
+  while (true) {
+    const auto found = idle_.find(peer_name);
+    if (found == idle_.end()) {
+      return nullptr;
+    }
+    // The one used last is the least likely to have been closed by the peer.
+    const auto connection = found->second.back();
+    found->second.pop_back();
+    if (found->second.empty()) {
+      idle_.erase(found);
+    }
+    if (connection->Usable(EventLoop::Now())) {
+      return connection;
+    }
+    connection->Close();
+  }
+}
+
+void HttpClient::Keep(const std::shared_ptr<HttpConnection>& connection) {
+  auto& list = idle_[connection->peer_name()];
+  if (list.size() >= options_.most_idle) {
+    connection->Close();
+    return;
+  }
+  connection->set_idle_since(EventLoop::Now());
+  list.push_back(connection);
+}
+
+void HttpClient::Drop(const std::shared_ptr<HttpConnection>& connection) {
+  const auto found = idle_.find(connection->peer_name());
+  if (found == idle_.end()) {
+    return;
+  }
+  std::erase(found->second, connection);
+  if (found->second.empty()) {
+    idle_.erase(found);
+  }
+}
+
+void HttpClient::Forget(const std::string& peer_name) {
+  const auto found = idle_.find(peer_name);
+  if (found == idle_.end()) {
+    return;
+  }
+  const auto connections = std::exchange(found->second, {});
+  idle_.erase(found);
+  for (const auto& connection : connections) {
+    connection->Close();
+  }
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/http_connection.cc
@@ -0,0 +1,254 @@
+#include "libheathergate/http_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+#include "heathergate/event_loop.h"
+#include "libheathergate/socket_options.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+
+constexpr std::size_t kReadBytes = 32768;
+// Part of the peer's announced keep-alive time that is used: a request must not
+// cross the peer's close.
+constexpr double kKeepAliveShare = 0.6;
+
+// One for all connections: input is parsed before the next read.
+std::array<char, kReadBytes>& SharedBuffer() {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(HttpClient& client,
+                               EventLoop& loop,
+                               HttpPeer peer)
+    : client_(client),
+      peer_(std::move(peer)),
+      socket_(loop.context()),
+      connect_timer_(loop),
+      reader_(HttpReader::Kind::kResponse,
+              {.head_bytes = kReadBytes,
+               .body_bytes = client.options_.most_body_bytes}) {}
+
+void HttpConnection::Open(std::shared_ptr<HttpCall> call,
+                          std::string request,
+                          std::string echo) {
+  call_ = std::move(call);
+  call_->connection_ = shared_from_this();
+  request_ = std::move(request);
+  echo_ = std::move(echo);
+  std::error_code error;
+  const auto address = asio::ip::make_address(peer_.address, error);
+  if (error) {
+    Fail("address '" + peer_.address + "' is not an IP address");
+    return;
+  }
+  connect_timer_.Start(client_.options_.connect_timeout,
+                       [self = weak_from_this()] {
+                         if (const auto connection = self.lock()) {
+                           connection->Fail("connecting took too long");
+                         }
+                       });
+  ++client_.opened_;
+  socket_.async_connect({address, peer_.port},
+                        [self = shared_from_this()](std::error_code result) {
+                          self->OnConnected(result);
+                        });
+}
+
+void HttpConnection::OnConnected(std::error_code error) {
+  if (closed_) {
+    return;
+  }
+  connect_timer_.Cancel();
+  if (error) {
+    Fail("no connection: " + error.message());
+    return;
+  }
+  PrepareSocket(socket_, client_.options_.ack_timeout);
+  Write();
+  AwaitInput();
+}
+
+void HttpConnection::Start(std::shared_ptr<HttpCall> call,
+                           std::string request,
+                           std::string echo) {
+  call_ = std::move(call);
+  call_->connection_ = shared_from_this();
+  request_ = std::move(request);
+  echo_ = std::move(echo);
+  reader_.Reset();
+  Write();
+}
+
+void HttpConnection::Write() {
+  // Part of the request may leave with the first try of the write.
+  call_->sent_ = true;
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(request_),
+      [self = shared_from_this()](std::error_code error, std::size_t) {
+        self->writing_ = false;
+        if (error && !self->closed_) {
+          self->Fail("writing: " + error.message());
+        }
+      });
+}
+
+void HttpConnection::AwaitInput() {
+  reading_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](std::error_code error) {
+                       self->reading_ = false;
+                       if (self->closed_) {
+                         return;
+                       }
+                       if (error) {
+                         self->OnEnd(error);
+                         return;
+                       }
+                       self->ReadInput();
+                     });
+}
+
+void HttpConnection::ReadInput() {
+  auto& buffer = SharedBuffer();
+  std::error_code error;
+  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) {
+    AwaitInput();
+    return;
+  }
+  if (error) {
+    OnEnd(error);
+    return;
+  }
+  OnInput({buffer.data(), size});
+  if (!closed_ && !reading_) {
+    AwaitInput();
+  }
+}
+
+void HttpConnection::OnInput(std::string_view data) {
+  while (!data.empty() && !closed_) {
+    if (call_ == nullptr) {
+      // Bytes that belong to no request.
+      Close();
+      return;
+    }
+    std::size_t used = 0;
+    const ReadStatus status = reader_.Feed(data, &used);
+    data.remove_prefix(used);
+    if (status == ReadStatus::kNeedMore) {
+      return;
+    }
+    if (status != ReadStatus::kComplete) {
+      Fail("the response is malformed or too large");
+      return;
+    }
+    tainted_ = tainted_ || !data.empty();
+    OnMessage();
+  }
+}
+
+void HttpConnection::OnMessage() {
+  if (!EchoMatches()) {
+    // A late or second response to an earlier request; the own one may follow.
+    tainted_ = true;
+    reader_.Reset();
+    return;
+  }
+  Succeed();
+}
+
+bool HttpConnection::EchoMatches() const {
+  const std::string& header = client_.options_.echo_header;
+  if (header.empty() || echo_.empty()) {
+    return true;
+  }
+  const std::string* value =
+      const_cast<HttpReader&>(reader_).head().Find(header);
+  return value == nullptr || *value == echo_;
+}
+
+void HttpConnection::OnEnd(std::error_code error) {
+  if (call_ == nullptr) {
+    Close();
+    return;
+  }
+  const bool orderly = error == asio::error::eof;
+  if (orderly && reader_.head_complete() &&
+      reader_.FeedEnd() == ReadStatus::kComplete && EchoMatches()) {
+    reader_.head().keep_alive = false;
+    Succeed();
+    return;
+  }
+  Fail("the connection ended: " + error.message());
+}
+
+void HttpConnection::Succeed() {
+  CallResult result;
+  result.outcome = CallOutcome::kAnswered;
+  result.head = std::move(reader_.head());
+  result.body = std::move(reader_.body());
+  keep_ = client_.options_.keep;
+  if (const std::string* value = result.head.Find("Keep-Alive")) {
+    const std::size_t at = value->find("timeout=");
+    int seconds = 0;
+    if (at != std::string::npos) {
+      const char* begin = value->data() + at + std::string("timeout=").size();
+      std::from_chars(begin, value->data() + value->size(), seconds);
+      const auto usable = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(seconds * kKeepAliveShare));
+      keep_ = std::min(keep_, usable);
+    }
+  }
+  const bool keep = result.head.keep_alive && !writing_ && !tainted_;
+  const auto call = std::exchange(call_, nullptr);
+  reader_.Reset();
+  if (keep) {
+    client_.Keep(shared_from_this());
+  } else {
+    Close();
+  }
+  call->Finish(std::move(result));
+}
+
+void HttpConnection::Fail(const std::string& error) {
+  const auto call = std::exchange(call_, nullptr);
+  Close();
+  if (call == nullptr) {
+    return;
+  }
+  CallResult result;
+  result.outcome = call->sent_ ? CallOutcome::kBroken : CallOutcome::kNotSent;
+  result.error = error;
+  call->Finish(std::move(result));
+}
+
+void HttpConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  call_ = nullptr;
+  connect_timer_.Cancel();
+  std::error_code ignored;  // NOLINT: the connection is given up either way.
+  socket_.close(ignored);
+  client_.Drop(shared_from_this());
+}
+
+bool HttpConnection::Usable(Instant now) {
+  return !closed_ && now - idle_since_ < keep_ && !HasPendingInput(socket_);
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/http_connection.h
@@ -0,0 +1,69 @@
+#ifndef LIBHEATHERGATE_HTTP_CONNECTION_H_
+#define LIBHEATHERGATE_HTTP_CONNECTION_H_
+
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+
+#include "heathergate/http_call.h"
+#include "heathergate/http_client.h"
+#include "heathergate/http_reader.h"
+#include "heathergate/timer.h"
+
+namespace heathergate {
+
+/// One connection of an HttpClient: opened for a call, kept for later ones.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  HttpConnection(HttpClient& client, EventLoop& loop, HttpPeer peer);
+
+  /// Opens the connection, then sends the call's request.
+  void Open(std::shared_ptr<HttpCall> call,
+            std::string request,
+            std::string echo);
+
+  /// Sends the next request on a kept connection.
+  void Start(std::shared_ptr<HttpCall> call,
+             std::string request,
+             std::string echo);
+
+  void Close();
+
+  /// Whether the next request may be sent on this idle connection.
+  bool Usable(heatherlever::Instant now);
+
+  const std::string& peer_name() const { return peer_.name; }
+  void set_idle_since(heatherlever::Instant now) { idle_since_ = now; }
+
+ private:
+  void OnConnected(std::error_code error);
+  void Write();
+  void AwaitInput();
+  void ReadInput();
+  void OnInput(std::string_view data);
+  void OnEnd(std::error_code error);
+  void OnMessage();
+  bool EchoMatches() const;
+  void Succeed();
+  void Fail(const std::string& error);
+
+  HttpClient& client_;
+  HttpPeer peer_;
+  asio::ip::tcp::socket socket_;
+  Timer connect_timer_;
+  HttpReader reader_;
+  std::shared_ptr<HttpCall> call_;
+  std::string request_;
+  std::string echo_;
+  bool writing_ = false;
+  bool reading_ = false;
+  bool closed_ = false;
+  // A response that was not asked for has come.
+  bool tainted_ = false;
+  heatherlever::Instant idle_since_{0};
+  heatherlever::Duration keep_{0};
+};
+
+}  // namespace heathergate
+
+#endif  // LIBHEATHERGATE_HTTP_CONNECTION_H_
--- /dev/null
+++ b/src/libheathergate/http_reader.cc
@@ -0,0 +1,196 @@
+#include "heathergate/http_reader.h"
+
+#include <http_parser.h>
+
+#include "heathergate/http_head.h"
+
+namespace heathergate {
+
+struct HttpReader::Impl {
+  http_parser parser{};
+  http_parser_settings settings{};
+  Kind kind = Kind::kRequest;
+  ReadLimits limits;
+  HttpHead head;
+  std::string body;
+  std::size_t head_bytes = 0;
+  bool started = false;
+  bool in_value = false;
+  bool head_complete = false;
+  bool complete = false;
+  bool no_body = false;
+  bool body_too_large = false;
+};
+
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+// Values of on_headers_complete that http_parser defines.
+constexpr int kReadBody = 0;
+constexpr int kSkipBody = 1;
+constexpr int kStopParser = -1;
+
+template <typename Impl>
+Impl& Of(http_parser* parser) {
+  return *static_cast<Impl*>(parser->data);
+}
+
+}  // namespace
+
+// The callbacks of http_parser; in a template as HttpReader::Impl is private.
+template <typename Impl>
+struct ReaderCallbacks {
+  static int OnTarget(http_parser* parser, const char* at, size_t length) {
+    Of<Impl>(parser).head.target.append(at, length);
+    return 0;
+  }
+
+  static int OnFieldName(http_parser* parser, const char* at, size_t length) {
+    Impl& impl = Of<Impl>(parser);
+    if (impl.in_value || impl.head.fields.empty()) {
+      impl.head.fields.emplace_back();
+      impl.in_value = false;
+    }
+    impl.head.fields.back().name.append(at, length);
+    return 0;
+  }
+
+  static int OnFieldValue(http_parser* parser, const char* at, size_t length) {
+    Impl& impl = Of<Impl>(parser);
+    impl.in_value = true;
+    // Trailers come after the head and are dropped with their names.
+    impl.head.fields.back().value.append(at, length);
+    return 0;
+  }
+
+  static int OnHeadersComplete(http_parser* parser) {
+    Impl& impl = Of<Impl>(parser);
+    impl.head_complete = true;
+    impl.head.keep_alive = http_should_keep_alive(parser) != 0;
+    impl.head.status = static_cast<int>(parser->status_code);
+    if (parser->type == HTTP_REQUEST) {
+      impl.head.method =
+          http_method_str(static_cast<http_method>(parser->method));
+    }
+    constexpr auto kUnknownLength = static_cast<std::uint64_t>(-1);
+    if (parser->content_length != kUnknownLength &&
+        parser->content_length > impl.limits.body_bytes) {
+      impl.body_too_large = true;
+      return kStopParser;
+    }
+    return impl.no_body ? kSkipBody : kReadBody;
+  }
+
+  static int OnBody(http_parser* parser, const char* at, size_t length) {
+    Impl& impl = Of<Impl>(parser);
+    if (impl.body.size() + length > impl.limits.body_bytes) {
+      impl.body_too_large = true;
+      return kStopParser;
+    }
+    impl.body.append(at, length);
+    return 0;
+  }
+
+  static int OnMessageComplete(http_parser* parser) {
+    Impl& impl = Of<Impl>(parser);
+    impl.complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+};
+
+HttpReader::HttpReader(Kind kind, ReadLimits limits)
+    : impl_(std::make_unique<Impl>()) {
+  using Callbacks = ReaderCallbacks<Impl>;
+  impl_->kind = kind;
+  impl_->limits = limits;
+  http_parser_settings_init(&impl_->settings);
+  impl_->settings.on_url = Callbacks::OnTarget;
+  impl_->settings.on_header_field = Callbacks::OnFieldName;
+  impl_->settings.on_header_value = Callbacks::OnFieldValue;
+  impl_->settings.on_headers_complete = Callbacks::OnHeadersComplete;
+  impl_->settings.on_body = Callbacks::OnBody;
+  impl_->settings.on_message_complete = Callbacks::OnMessageComplete;
+  Reset();
+}
+
+HttpReader::~HttpReader() = default;
+
+void HttpReader::Reset() {
+  http_parser_init(&impl_->parser, impl_->kind == Kind::kRequest
+                                       ? HTTP_REQUEST
+                                       : HTTP_RESPONSE);
+  impl_->parser.data = impl_.get();
+  impl_->head = {};
+  impl_->body.clear();
+  impl_->head_bytes = 0;
+  impl_->started = false;
+  impl_->in_value = false;
+  impl_->head_complete = false;
+  impl_->complete = false;
+  impl_->body_too_large = false;
+}
+
+ReadStatus HttpReader::Feed(std::string_view data, std::size_t* used) {
+  *used = 0;
+  while (*used < data.size()) {
+    const std::string_view rest = data.substr(*used);
+    impl_->started = true;
+    const std::size_t taken = http_parser_execute(
+        &impl_->parser, &impl_->settings, rest.data(), rest.size());
+    *used += taken;
+    if (impl_->body_too_large) {
+      return ReadStatus::kBodyTooLarge;
+    }
+    if (impl_->complete) {
+      const int status = impl_->head.status;
+      if (impl_->kind == Kind::kRequest || status >= kFirstFinalStatus) {
+        return ReadStatus::kComplete;
+      }
+      Reset();
+      continue;
+    }
+    if (HTTP_PARSER_ERRNO(&impl_->parser) != HPE_OK ||
+        impl_->parser.upgrade != 0) {
+      return ReadStatus::kMalformed;
+    }
+    if (!impl_->head_complete) {
+      impl_->head_bytes += taken;
+      if (impl_->head_bytes > impl_->limits.head_bytes) {
+        return ReadStatus::kHeadTooLarge;
+      }
+    }
+  }
+  return ReadStatus::kNeedMore;
+}
+
+ReadStatus HttpReader::FeedEnd() {
+  http_parser_execute(&impl_->parser, &impl_->settings, nullptr, 0);
+  return impl_->complete ? ReadStatus::kComplete : ReadStatus::kMalformed;
+}
+
+void HttpReader::ExpectNoBody() {
+  impl_->no_body = true;
+}
+
+void HttpReader::set_limits(ReadLimits limits) {
+  impl_->limits = limits;
+}
+
+bool HttpReader::started() const {
+  return impl_->started;
+}
+
+bool HttpReader::head_complete() const {
+  return impl_->head_complete;
+}
+
+HttpHead& HttpReader::head() {
+  return impl_->head;
+}
+
+std::string& HttpReader::body() {
+  return impl_->body;
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/http_session.cc
@@ -0,0 +1,264 @@
+#include "libheathergate/http_session.h"
+
+#include <array>
+#include <asio/write.hpp>
+#include <utility>
+
+#include "heathergate/event_loop.h"
+#include "libheathergate/socket_options.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+
+constexpr std::size_t kReadBytes = 32768;
+// Bytes of later requests that are kept while one is being answered.
+constexpr std::size_t kMostPending = 65536;
+// Time for a peer to close after the last response, so that its unread bytes do
+// not reset the connection under that response.
+constexpr Duration kLingerTimeout = std::chrono::milliseconds(1000);
+// Time for sent bytes to be acknowledged by the client's kernel.
+constexpr Duration kClientAckTimeout = std::chrono::seconds(5);
+
+std::array<char, kReadBytes>& SharedBuffer() {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+bool HasBody(int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status != kNoContent && status != kNotModified;
+}
+
+}  // namespace
+
+HttpSession::HttpSession(SessionOwner& owner,
+                         EventLoop& loop,
+                         asio::ip::tcp::socket socket)
+    : owner_(owner),
+      loop_(loop),
+      socket_(std::move(socket)),
+      timer_(loop),
+      reader_(HttpReader::Kind::kRequest, {}) {}
+
+void HttpSession::Start() {
+  PrepareSocket(socket_, kClientAckTimeout);
+  const auto& limits = owner_.limits();
+  reader_.set_limits({limits.max_header_bytes, limits.max_body_bytes});
+  StartTimer();
+  AwaitInput();
+}
+
+bool HttpSession::idle() const {
+  return exchange_ == nullptr && !writing_ && !reader_.started() &&
+         pending_.empty();
+}
+
+void HttpSession::StartTimer() {
+  const auto& limits = owner_.limits();
+  const bool reading_head = reader_.started() && !reader_.head_complete();
+  const Duration time = lingering_     ? kLingerTimeout
+                        : reading_head ? limits.header_timeout
+                                       : limits.idle_timeout;
+  timer_.Start(time, [self = weak_from_this()] {
+    if (const auto session = self.lock()) {
+      session->OnTimer();
+    }
+  });
+}
+
+void HttpSession::OnTimer() {
+  if (lingering_ || idle()) {
+    Close();
+    return;
+  }
+  if (exchange_ == nullptr && !writing_) {
+    constexpr int kRequestTimeout = 408;
+    Reject(kRequestTimeout);
+  }
+}
+
+void HttpSession::AwaitInput() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](std::error_code error) {
+                       if (self->closed_) {
+                         return;
+                       }
+                       if (error) {
+                         self->OnReadEnd(error);
+                         return;
+                       }
+                       self->ReadInput();
+                     });
+}
+
+void HttpSession::ReadInput() {
+  auto& buffer = SharedBuffer();
+  std::error_code error;
+  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) {
+    AwaitInput();
+    return;
+  }
+  if (error) {
+    OnReadEnd(error);
+    return;
+  }
+  if (!lingering_ && !close_after_write_) {
+    pending_.append(buffer.data(), size);
+    Parse();
+  }
+  // A full buffer leaves the rest to the kernel until the answer is out.
+  if (!closed_ && pending_.size() < kMostPending) {
+    AwaitInput();
+  }
+}
+
+void HttpSession::Parse() {
+  if (exchange_ != nullptr || writing_ || pending_.empty()) {
+    return;
+  }
+  const bool first = !reader_.started();
+  std::size_t used = 0;
+  const ReadStatus status = reader_.Feed(pending_, &used);
+  pending_.erase(0, used);
+  switch (status) {
+    case ReadStatus::kComplete:
+      Dispatch();
+      return;
+    case ReadStatus::kMalformed:
+      Reject(400);
+      return;
+    case ReadStatus::kHeadTooLarge:
+      Reject(431);
+      return;
+    case ReadStatus::kBodyTooLarge:
+      Reject(413);
+      return;
+    case ReadStatus::kNeedMore:
+      break;
+  }
+  if (first) {
+    StartTimer();
+  }
+  const std::string* expect =
+      reader_.head_complete() ? reader_.head().Find("Expect") : nullptr;
+  if (expect != nullptr && !continued_) {
+    continued_ = true;
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::error_code ignored;  // NOLINT: a broken connection shows on the read.
+    socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()),
+                       ignored);
+  }
+}
+
+void HttpSession::Dispatch() {
+  timer_.Cancel();
+  head_request_ = reader_.head().method == "HEAD";
+  close_after_write_ = !reader_.head().keep_alive;
+  exchange_ = std::make_shared<HttpExchange>(
+      std::move(reader_.head()), std::move(reader_.body()), EventLoop::Now(),
+      [self = weak_from_this()](HttpResponse response) {
+        if (const auto session = self.lock()) {
+          session->Reply(std::move(response));
+        }
+      });
+  reader_.Reset();
+  continued_ = false;
+  owner_.Handle(exchange_);
+}
+
+void HttpSession::Reject(int status) {
+  HttpResponse response;
+  response.status = status;
+  response.close = true;
+  Write(response);
+}
+
+void HttpSession::Reply(HttpResponse response) {
+  exchange_ = nullptr;
+  if (!closed_) {
+    Write(response);
+  }
+}
+
+void HttpSession::Write(const HttpResponse& response) {
+  close_after_write_ = close_after_write_ || response.close || owner_.leaving();
+  output_ = "HTTP/1.1 " + std::to_string(response.status) + " " +
+            ReasonPhrase(response.status) + "\r\n";
+  for (const HeaderField& field : response.fields) {
+    output_ += field.name + ": " + field.value + "\r\n";
+  }
+  if (HasBody(response.status)) {
+    output_ +=
+        "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+  }
+  if (close_after_write_) {
+    output_ += "Connection: close\r\n";
+  }
+  output_ += "\r\n";
+  if (HasBody(response.status) && !head_request_) {
+    output_ += response.body;
+  }
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(output_),
+      [self = shared_from_this()](std::error_code error, std::size_t) {
+        self->OnWritten(error);
+      });
+}
+
+void HttpSession::OnWritten(std::error_code error) {
+  writing_ = false;
+  output_.clear();
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  if (close_after_write_) {
+    Linger();
+    return;
+  }
+  const bool was_full = pending_.size() >= kMostPending;
+  const auto& limits = owner_.limits();
+  reader_.set_limits({limits.max_header_bytes, limits.max_body_bytes});
+  StartTimer();
+  Parse();
+  if (was_full && !closed_) {
+    AwaitInput();
+  }
+}
+
+void HttpSession::Linger() {
+  lingering_ = true;
+  pending_.clear();
+  std::error_code ignored;  // NOLINT: the peer may have closed already.
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  StartTimer();
+}
+
+void HttpSession::OnReadEnd(std::error_code) {
+  // A client that closes its side takes no answer any more.
+  Close();
+}
+
+void HttpSession::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  timer_.Cancel();
+  std::error_code ignored;  // NOLINT: the connection is given up either way.
+  socket_.close(ignored);
+  if (const auto exchange = std::exchange(exchange_, nullptr)) {
+    exchange->Abandon();
+  }
+  owner_.Remove(shared_from_this());
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/http_session.h
@@ -0,0 +1,79 @@
+#ifndef LIBHEATHERGATE_HTTP_SESSION_H_
+#define LIBHEATHERGATE_HTTP_SESSION_H_
+
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+
+#include "heathergate/http_exchange.h"
+#include "heathergate/http_reader.h"
+#include "heathergate/http_response.h"
+#include "heathergate/timer.h"
+#include "heathersteer/traffic_config.h"
+
+namespace heathergate {
+
+class SessionOwner;
+
+/// One connection of an HttpServer.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+ public:
+  HttpSession(SessionOwner& owner,
+              EventLoop& loop,
+              asio::ip::tcp::socket socket);
+
+  void Start();
+
+  /// Closes the connection at once.
+  void Close();
+
+  /// Whether no request is being read or answered.
+  bool idle() const;
+
+  /// Whether a request is being read or answered.
+  bool busy() const { return !closed_ && !lingering_ && !idle(); }
+
+ private:
+  void AwaitInput();
+  void ReadInput();
+  void Parse();
+  void OnReadEnd(std::error_code error);
+  void Dispatch();
+  void Reject(int status);
+  void Reply(HttpResponse response);
+  void Write(const HttpResponse& response);
+  void OnWritten(std::error_code error);
+  void Linger();
+  void StartTimer();
+  void OnTimer();
+
+  SessionOwner& owner_;
+  EventLoop& loop_;
+  asio::ip::tcp::socket socket_;
+  Timer timer_;
+  HttpReader reader_;
+  std::shared_ptr<HttpExchange> exchange_;
+  // Bytes of later requests, read while one is being answered.
+  std::string pending_;
+  std::string output_;
+  bool head_request_ = false;
+  bool writing_ = false;
+  bool close_after_write_ = false;
+  bool lingering_ = false;
+  bool continued_ = false;
+  bool closed_ = false;
+};
+
+/// What a session needs of its server.
+class SessionOwner {
+ public:
+  virtual ~SessionOwner() = default;
+  virtual const heathersteer::ClientLimits& limits() const = 0;
+  virtual bool leaving() const = 0;
+  virtual void Handle(std::shared_ptr<HttpExchange> exchange) = 0;
+  virtual void Remove(const std::shared_ptr<HttpSession>& session) = 0;
+};
+
+}  // namespace heathergate
+
+#endif  // LIBHEATHERGATE_HTTP_SESSION_H_
--- /dev/null
+++ b/src/libheathergate/socket_options.cc
@@ -0,0 +1,29 @@
+#include "libheathergate/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace heathergate {
+
+void PrepareSocket(asio::ip::tcp::socket& socket,
+                   heatherlever::Duration ack_timeout) {
+  std::error_code ignored;  // NOLINT: a socket without an option still works.
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  const auto ms = static_cast<unsigned>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(ack_timeout)
+          .count());
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
+             sizeof(ms));
+}
+
+bool HasPendingInput(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t got =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathersteer/attempt_policy.cc
@@ -0,0 +1,36 @@
+#include "heathersteer/attempt_policy.h"
+
+namespace heathersteer {
+namespace {
+
+// Placements in a row that may end without a connection before the request is
+// rejected: one unreachable domain must not use up the whole deadline.
+constexpr int kMostUnsent = 3;
+
+}  // namespace
+
+NextStep AttemptPolicy::After(AttemptOutcome outcome) {
+  if (outcome == AttemptOutcome::kNotSent) {
+    ++unsent_;
+    return unsent_ < kMostUnsent ? NextStep::kPlaceAgain : WithoutRepeat();
+  }
+  ++sends_;
+  const bool more = sends_ < max_attempts_;
+  switch (outcome) {
+    case AttemptOutcome::kAnswered:
+      return NextStep::kDeliver;
+    case AttemptOutcome::kNotExecuted:
+      return more ? NextStep::kRepeat : WithoutRepeat();
+    case AttemptOutcome::kServerError:
+      may_have_run_ = true;
+      return more && idempotent_ ? NextStep::kRepeat : NextStep::kDeliver;
+    case AttemptOutcome::kBroken:
+      may_have_run_ = true;
+      return more && idempotent_ ? NextStep::kRepeat : NextStep::kFail;
+    case AttemptOutcome::kNotSent:
+      break;
+  }
+  return NextStep::kFail;
+}
+
+}  // namespace heathersteer
--- /dev/null
+++ b/src/libheathersteer/server_evidence.cc
@@ -0,0 +1,52 @@
+#include "heathersteer/server_evidence.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+
+// First suspension after a failure; about the time in which a crashed server's
+// neighbours take over its keys without a visible dent.
+constexpr Duration kFirstSuspension = std::chrono::milliseconds(300);
+// Longest suspension, so that a server that is back is found again.
+constexpr Duration kLongestSuspension = std::chrono::milliseconds(2400);
+// Time after a suspension in which the server may have started anew, cold,
+// without the list having said so: a heartbeat, a read and some slack.
+constexpr Duration kProbation = std::chrono::milliseconds(2500);
+// Weight of the newest answer in the mean service time.
+constexpr double kTimeWeight = 0.1;
+// Weight of the newest answer in the share of refusals.
+constexpr double kRefusalWeight = 0.2;
+
+}  // namespace
+
+void ServerEvidence::Answered(Duration service_time, Instant now) {
+  failures_ = 0;
+  suspended_until_ = std::min(suspended_until_, now);
+  refusals_ *= 1 - kRefusalWeight;
+  if (mean_.count() == 0) {
+    mean_ = service_time;
+    return;
+  }
+  const double mean = static_cast<double>(mean_.count());
+  const double step = static_cast<double>(service_time.count()) - mean;
+  mean_ = Duration(static_cast<std::int64_t>(mean + kTimeWeight * step));
+}
+
+void ServerEvidence::Refused(Instant) {
+  refusals_ += kRefusalWeight * (1 - refusals_);
+}
+
+void ServerEvidence::Failed(Instant now) {
+  const Duration pause = std::min(
+      kFirstSuspension * (1 << std::min(failures_, 4)), kLongestSuspension);
+  ++failures_;
+  suspended_until_ = std::max(suspended_until_, now + pause);
+  probation_until_ = suspended_until_ + kProbation;
+}
+
+}  // namespace heathersteer
--- /dev/null
+++ b/src/libheathersteer/server_table.cc
@@ -0,0 +1,76 @@
+#include "heathersteer/server_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathersteer {
+namespace {
+
+// Whether both are the same process at the same place.
+bool SameLife(const BackendServer& a, const BackendServer& b) {
+  return a.started_ms == b.started_ms && a.address == b.address &&
+         a.port == b.port && a.service == b.service;
+}
+
+}  // namespace
+
+void ServerTable::Put(const BackendServer& server) {
+  auto& state = by_id_[server.id];
+  if (state && SameLife(state->server, server)) {
+    state->server = server;
+    return;
+  }
+  if (state) {
+    Unlink(state);
+  }
+  state = std::make_shared<ServerState>();
+  state->server = server;
+  by_service_[server.service].push_back(state);
+}
+
+void ServerTable::Remove(const std::string& id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) {
+    return;
+  }
+  Unlink(found->second);
+  by_id_.erase(found);
+}
+
+void ServerTable::KeepOnly(const std::set<std::string>& ids) {
+  std::vector<std::string> gone;
+  for (const auto& [id, state] : by_id_) {
+    if (!ids.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    Remove(id);
+  }
+}
+
+void ServerTable::Unlink(const std::shared_ptr<ServerState>& state) {
+  state->listed = false;
+  std::erase(by_service_[state->server.service], state);
+}
+
+void ServerTable::SetEvacuated(std::set<std::string> domains) {
+  evacuated_ = std::move(domains);
+}
+
+bool ServerTable::evacuated(const std::string& domain) const {
+  return evacuated_.contains(domain);
+}
+
+const ServerTable::Servers& ServerTable::OfService(
+    const std::string& service) const {
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? none_ : found->second;
+}
+
+std::shared_ptr<ServerState> ServerTable::Find(const std::string& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+}  // namespace heathersteer
