Let one host a failure domain read the store for the others

Ruled out: one reader for all domains (news would cross regions, and its loss is seen late); gossip of digests (rows are few, and the order of registration already names one host).

--- /dev/null
+++ b/src/include/heathergate/fleet_agent.h
@@ -0,0 +1,126 @@
+#ifndef HEATHERGATE_FLEET_AGENT_H_
+#define HEATHERGATE_FLEET_AGENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "heathergate/fleet_source.h"
+#include "heathergate/http_client.h"
+#include "heathergate/http_server.h"
+#include "heathergate/timer.h"
+#include "heathersteer/live_hosts.h"
+#include "heathersteer/relay_order.h"
+#include "heathersteer/server_list.h"
+
+namespace heathergate {
+
+class EventLoop;
+struct RelayAnswer;
+struct RelayQuestion;
+
+/// Who is told of news.
+struct FleetListener {
+  std::function<void(const heathersteer::OperatorState&)> on_operator;
+  std::function<void(const std::vector<heathersteer::BackendServer>&)>
+      on_servers;
+  /// Number of registered entry hosts.
+  std::function<void(int)> on_host_count;
+};
+
+/// Keeps an entry host informed of the operator's state, the backend servers and
+/// the other hosts of its domain. In each domain one host reads the store; the
+/// others ask it over the network between hosts and read the store themselves
+/// only while they can't reach it or its news are old.
+class FleetAgent {
+ public:
+  FleetAgent(EventLoop& loop,
+             FleetSource& source,
+             heathersteer::HostRecord self,
+             FleetListener listener);
+  ~FleetAgent();
+
+  void Start();
+
+  /// Tells the others that this host takes no more requests.
+  void StartLeaving();
+
+  /// Whether this host takes requests, for the others' directories.
+  void set_ready(bool ready);
+
+  /// Fronts of this domain's hosts that take requests; this host's own first if
+  /// it is one of them.
+  std::vector<std::string> Fronts() const;
+
+ private:
+  struct HeldQuestion;
+
+  void Register();
+  void ReadHosts();
+  void Follow();
+  void Ask(const heathersteer::HostRecord& host);
+  void OnAnswer(const heathersteer::HostRecord& host, CallResult result);
+  void OnFollowFailed(const heathersteer::HostRecord& host,
+                      const std::string& problem);
+  void TakeAnswer(const RelayAnswer& answer);
+  bool ShouldRead() const;
+  void EnsureReading();
+  void ReadServers();
+  void ReadOperator();
+  void OnServers(const std::vector<heathersteer::BackendServer>& servers,
+                 heatherlever::Instant read_at);
+  void OnOperator(const heathersteer::OperatorState& state);
+  void OnQuestion(const std::shared_ptr<HttpExchange>& exchange);
+  bool HasNews(const RelayQuestion& question) const;
+  void AnswerHeld();
+  void AnswerAllHeld();
+  void SendAnswer(HeldQuestion& held);
+  void Tick();
+
+  EventLoop& loop_;
+  FleetSource& source_;
+  FleetListener listener_;
+  heathersteer::RelayOrder order_;
+  heathersteer::LiveHosts live_;
+  heathersteer::ServerList servers_;
+  heathersteer::OperatorState operator_;
+  HttpClient client_;
+  HttpServer server_;
+  Timer register_timer_;
+  Timer hosts_timer_;
+  Timer follow_timer_;
+  Timer ask_timer_;
+  Timer servers_timer_;
+  Timer operator_timer_;
+  Timer tick_timer_;
+  std::list<HeldQuestion> held_;
+  std::shared_ptr<HttpCall> ask_;
+  // Distinguishes this life's sequence numbers from those of earlier ones.
+  std::string instance_;
+  std::uint64_t servers_sequence_ = 0;
+  std::uint64_t operator_sequence_ = 0;
+  std::uint64_t live_sequence_ = 0;
+  // What the followed host has told already.
+  std::string followed_instance_;
+  std::uint64_t followed_servers_ = 0;
+  std::uint64_t followed_operator_ = 0;
+  std::uint64_t followed_live_ = 0;
+  std::vector<std::string> followed_fronts_;
+  // Empty while this host reads the store for its domain.
+  std::string following_;
+  heatherlever::Instant confirmed_at_{0};
+  int host_count_ = 1;
+  bool registered_ = false;
+  bool hosts_known_ = false;
+  bool reading_servers_ = false;
+  bool reading_operator_ = false;
+  bool ready_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace heathergate
+
+#endif  // HEATHERGATE_FLEET_AGENT_H_
--- /dev/null
+++ b/src/include/heathersteer/host_record.h
@@ -0,0 +1,27 @@
+#ifndef HEATHERSTEER_HOST_RECORD_H_
+#define HEATHERSTEER_HOST_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+namespace heathersteer {
+
+/// An entry host, as it registers itself when it starts.
+struct HostRecord {
+  std::string name;
+  std::string region;
+  std::string domain;
+  /// Where clients' requests arrive: address and port.
+  std::string front;
+  /// Where other entry hosts ask: address and port.
+  std::string relay_address;
+  std::uint16_t relay_port = 0;
+  /// Version of the registration; grows with each start of any host.
+  std::uint64_t joined = 0;
+
+  bool operator==(const HostRecord&) const = default;
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_HOST_RECORD_H_
--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -65,6 +65,7 @@
   std::vector<Candidate> Rank(const ServerTable& table,
                               const PlacementRequest& request,
                               heatherlever::Instant now) const;
+  heatherlever::Duration ColdPause(const Service& service) const;
   double Weight(const ServerState& server, heatherlever::Instant now) const;
 
   PlacementOptions options_;
--- a/src/include/heathersteer/placement_options.h
+++ b/src/include/heathersteer/placement_options.h
@@ -7,6 +7,8 @@
 
 /// Where this host stands, and how much a server's distance counts.
 struct PlacementOptions {
+  /// Name of this host.
+  std::string host;
   std::string region;
   std::string domain;
   /// Weight of servers in another region, against 1 in the own domain.
--- /dev/null
+++ b/src/include/heathersteer/relay_order.h
@@ -0,0 +1,48 @@
+#ifndef HEATHERSTEER_RELAY_ORDER_H_
+#define HEATHERSTEER_RELAY_ORDER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "heatherlever/instant.h"
+#include "heathersteer/host_record.h"
+
+namespace heathersteer {
+
+/// Decides from which host of its domain an entry host takes the platform's
+/// news. Hosts follow the one that registered first; a host that nobody precedes
+/// reads the platform's store itself. Few hosts read that way, at any size.
+class RelayOrder {
+ public:
+  explicit RelayOrder(HostRecord self) : self_(std::move(self)) {}
+
+  /// The hosts' registrations; those of other domains are left out.
+  void SetHosts(const std::vector<HostRecord>& hosts);
+
+  /// A host told its registration, which may be newer than the known one.
+  void Learn(const std::string& name, std::uint64_t joined);
+
+  /// A host did not answer, or is leaving: passed over for some seconds.
+  void Failed(const std::string& name, heatherlever::Instant now);
+
+  /// The host to follow; nothing if this host reads the store itself.
+  std::optional<HostRecord> Choose(heatherlever::Instant now) const;
+
+  /// Whether a host that registered as `joined` may follow this one.
+  bool MayFollow(std::uint64_t joined) const { return joined > self_.joined; }
+
+  const HostRecord& self() const { return self_; }
+  void set_joined(std::uint64_t joined) { self_.joined = joined; }
+
+ private:
+  HostRecord self_;
+  std::map<std::string, HostRecord> hosts_;
+  std::map<std::string, heatherlever::Instant> passed_over_until_;
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_RELAY_ORDER_H_
--- a/src/include/heathersteer/token_pace.h
+++ b/src/include/heathersteer/token_pace.h
@@ -5,17 +5,19 @@
 
 namespace heathersteer {
 
-/// Lets events through at a rate, one at a time: a pause of 1 / rate after
-/// each.
+/// This host's part of a rate that several hosts share: one event at a time,
+/// with a pause of hosts / rate after each. After a long rest the first event
+/// waits for a part of the pause, so that the hosts do not begin together.
 class TokenPace {
  public:
-  bool Ready(heatherlever::Instant now) const { return now >= next_; }
-
-  /// Counts an event; `per_s` above 0.
-  void Take(heatherlever::Instant now, double per_s);
-
-  /// No event before `instant`.
-  void HoldUntil(heatherlever::Instant instant) { next_ = instant; }
+  /// `pause` is the time between two events of this host, `phase` in [0, 1) the
+  /// part of it that the first one waits for.
+  bool Ready(heatherlever::Instant now,
+             heatherlever::Duration pause,
+             double phase);
+
+  /// Counts an event.
+  void Take(heatherlever::Instant now, heatherlever::Duration pause);
 
  private:
   heatherlever::Instant next_{0};
--- /dev/null
+++ b/src/libheathergate/fleet_agent.cc
@@ -0,0 +1,489 @@
+#include "heathergate/fleet_agent.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "heathergate/event_loop.h"
+#include "heathergate/http_exchange.h"
+#include "libheathergate/relay_codec.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+using heathersteer::BackendServer;
+using heathersteer::HostRecord;
+using heathersteer::OperatorState;
+
+// Pause between reads of the backend servers by the host that reads for its
+// domain: drains have to be known everywhere within two seconds.
+constexpr Duration kServersPause = std::chrono::milliseconds(900);
+// Pause after a change of the operator's state, so that a storm of changes costs
+// few calls.
+constexpr Duration kOperatorPause = std::chrono::milliseconds(150);
+// Pause after a call to the store that failed.
+constexpr Duration kRetryPause = std::chrono::milliseconds(600);
+// Pause between reads of the hosts' registrations; others make themselves known
+// by asking.
+constexpr Duration kHostsPause = std::chrono::seconds(12);
+// Second read of the registrations after the start, when all hosts of a common
+// start have registered.
+constexpr Duration kFirstHostsPause = std::chrono::seconds(2);
+// Time for which a question is held: until there is news or the store has been
+// read again, and somewhat longer than that read's pause while it is away.
+constexpr Duration kHold = std::chrono::milliseconds(950);
+// Time for an answer beyond the hold.
+constexpr Duration kAnswerSlack = std::chrono::milliseconds(300);
+// Pause before the next host is asked after a failure.
+constexpr Duration kFollowPause = std::chrono::milliseconds(20);
+// Age of the followed host's news from which on this host reads for itself.
+constexpr Duration kStale = std::chrono::milliseconds(1400);
+constexpr Duration kTick = std::chrono::milliseconds(150);
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+constexpr const char* kRelayPath = "/relay";
+
+HttpClientOptions ClientOptions() {
+  HttpClientOptions options;
+  options.connect_timeout = std::chrono::milliseconds(250);
+  options.ack_timeout = std::chrono::milliseconds(600);
+  return options;
+}
+
+HttpResponse Plain(int status, std::string body = {}) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+std::string RandomName() {
+  std::random_device device;
+  return std::to_string(device()) + "-" + std::to_string(device());
+}
+
+}  // namespace
+
+// A question that waits for news.
+struct FleetAgent::HeldQuestion {
+  std::shared_ptr<HttpExchange> exchange;
+  RelayQuestion question;
+  Instant until{0};
+};
+
+FleetAgent::FleetAgent(EventLoop& loop,
+                       FleetSource& source,
+                       HostRecord self,
+                       FleetListener listener)
+    : loop_(loop),
+      source_(source),
+      listener_(std::move(listener)),
+      order_(self),
+      client_(loop, ClientOptions()),
+      server_(loop,
+              self.relay_address,
+              self.relay_port,
+              [this](const std::shared_ptr<HttpExchange>& exchange) {
+                OnQuestion(exchange);
+              }),
+      register_timer_(loop),
+      hosts_timer_(loop),
+      follow_timer_(loop),
+      ask_timer_(loop),
+      servers_timer_(loop),
+      operator_timer_(loop),
+      tick_timer_(loop),
+      instance_(RandomName()) {}
+
+FleetAgent::~FleetAgent() = default;
+
+void FleetAgent::Start() {
+  // Time for the first answer of a followed host.
+  confirmed_at_ = EventLoop::Now();
+  Register();
+  Tick();
+}
+
+void FleetAgent::Register() {
+  source_.Register(order_.self(), [this](absl::StatusOr<std::uint64_t> joined) {
+    if (!joined.ok()) {
+      spdlog::warn("registration failed: {}", joined.status().ToString());
+      // The configuration may be readable all the same.
+      EnsureReading();
+      register_timer_.Start(kRetryPause, [this] { Register(); });
+      return;
+    }
+    registered_ = true;
+    order_.set_joined(*joined);
+    spdlog::info("registered as {} at version {}", order_.self().name, *joined);
+    ReadHosts();
+  });
+}
+
+void FleetAgent::ReadHosts() {
+  const bool first = !hosts_known_;
+  source_.ReadHosts([this, first](absl::StatusOr<std::vector<HostRecord>> hosts) {
+    if (!hosts.ok()) {
+      spdlog::warn("registrations not read: {}", hosts.status().ToString());
+      EnsureReading();
+      hosts_timer_.Start(kRetryPause, [this] { ReadHosts(); });
+      return;
+    }
+    hosts_known_ = true;
+    order_.SetHosts(*hosts);
+    host_count_ = std::max(1, static_cast<int>(hosts->size()));
+    listener_.on_host_count(host_count_);
+    if (first) {
+      Follow();
+    }
+    // Followers learn of others from the host that they follow.
+    hosts_timer_.Start(first ? kFirstHostsPause : kHostsPause, [this] {
+      if (following_.empty()) {
+        ReadHosts();
+      }
+    });
+  });
+}
+
+void FleetAgent::Follow() {
+  const Instant now = EventLoop::Now();
+  const auto host = order_.Choose(now);
+  const std::string name = host ? host->name : "";
+  if (name != following_) {
+    spdlog::info("news come from {}", host ? name : "the store");
+    followed_instance_.clear();
+    // The next host of the order takes over with the hosts known so far.
+    for (const std::string& front : std::exchange(followed_fronts_, {})) {
+      live_.Heard(front, front != order_.self().front, now);
+    }
+  }
+  following_ = name;
+  if (host) {
+    Ask(*host);
+    return;
+  }
+  EnsureReading();
+  // An earlier host may be back.
+  follow_timer_.Start(kHold, [this] { Follow(); });
+}
+
+void FleetAgent::Ask(const HostRecord& host) {
+  const bool same = !followed_instance_.empty();
+  const RelayQuestion question{
+      .name = order_.self().name,
+      .front = order_.self().front,
+      .joined = order_.self().joined,
+      .ready = ready_ && !leaving_,
+      .instance = followed_instance_,
+      .servers_sequence = same ? followed_servers_ : 0,
+      .operator_sequence = same ? followed_operator_ : 0,
+      .live_sequence = same ? followed_live_ : 0};
+  const std::string body = EncodeQuestion(question);
+  const std::string head = std::string("POST ") + kRelayPath +
+                           " HTTP/1.1\r\nHost: " + host.name +
+                           "\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n";
+  ask_timer_.Start(kHold + kAnswerSlack, [this, host] {
+    if (const auto call = std::exchange(ask_, nullptr)) {
+      call->Cancel();
+    }
+    OnFollowFailed(host, "no answer in time");
+  });
+  ask_ = client_.Send({host.name, host.relay_address, host.relay_port}, head,
+                      body, "", [this, host](CallResult result) {
+                        ask_timer_.Cancel();
+                        ask_ = nullptr;
+                        OnAnswer(host, std::move(result));
+                      });
+}
+
+void FleetAgent::OnAnswer(const HostRecord& host, CallResult result) {
+  if (result.outcome != CallOutcome::kAnswered) {
+    OnFollowFailed(host, result.error);
+    return;
+  }
+  const auto answer = DecodeAnswer(result.body, EventLoop::Now());
+  if (result.head.status == kConflict && answer) {
+    // It registered after this host, which therefore precedes it.
+    order_.Learn(host.name, answer->joined);
+    Follow();
+    return;
+  }
+  if (result.head.status != kOk || !answer) {
+    OnFollowFailed(host, "status " + std::to_string(result.head.status));
+    return;
+  }
+  TakeAnswer(*answer);
+  Follow();
+}
+
+void FleetAgent::OnFollowFailed(const HostRecord& host,
+                                const std::string& problem) {
+  spdlog::warn("no news from {}: {}", host.name, problem);
+  order_.Failed(host.name, EventLoop::Now());
+  std::erase(followed_fronts_, host.front);
+  follow_timer_.Start(kFollowPause, [this] { Follow(); });
+}
+
+void FleetAgent::TakeAnswer(const RelayAnswer& answer) {
+  const Instant read_at = EventLoop::Now() - answer.age;
+  confirmed_at_ = std::max(confirmed_at_, read_at);
+  followed_instance_ = answer.instance;
+  followed_servers_ = answer.servers_sequence;
+  followed_operator_ = answer.operator_sequence;
+  followed_live_ = answer.live_sequence;
+  if (answer.operator_state) {
+    OnOperator(*answer.operator_state);
+  }
+  if (answer.servers && read_at >= servers_.read_at()) {
+    OnServers(*answer.servers, read_at);
+  }
+  if (answer.fronts) {
+    followed_fronts_ = *answer.fronts;
+  }
+  if (answer.host_count != host_count_) {
+    host_count_ = answer.host_count;
+    listener_.on_host_count(host_count_);
+  }
+  if (ShouldRead()) {
+    EnsureReading();
+  }
+}
+
+bool FleetAgent::ShouldRead() const {
+  return following_.empty() || EventLoop::Now() - confirmed_at_ > kStale;
+}
+
+void FleetAgent::EnsureReading() {
+  if (!reading_servers_) {
+    reading_servers_ = true;
+    ReadServers();
+  }
+  if (!reading_operator_) {
+    reading_operator_ = true;
+    ReadOperator();
+  }
+}
+
+void FleetAgent::ReadServers() {
+  const Instant asked_at = EventLoop::Now();
+  source_.ReadServers([this, asked_at](
+                          absl::StatusOr<std::vector<BackendServer>> servers) {
+    if (servers.ok()) {
+      confirmed_at_ = std::max(confirmed_at_, asked_at);
+      OnServers(*servers, EventLoop::Now());
+      AnswerAllHeld();
+    } else {
+      spdlog::warn("backend servers not read, the list of {} ms ago stays: {}",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       asked_at - servers_.read_at())
+                       .count(),
+                   servers.status().ToString());
+    }
+    if (!ShouldRead()) {
+      reading_servers_ = false;
+      return;
+    }
+    servers_timer_.Start(servers.ok() ? kServersPause : kRetryPause,
+                         [this] { ReadServers(); });
+  });
+}
+
+void FleetAgent::ReadOperator() {
+  source_.FollowOperator([this](absl::StatusOr<OperatorState> state) {
+    bool changed = false;
+    if (state.ok()) {
+      changed = state->version != operator_.version;
+      OnOperator(*state);
+    } else {
+      spdlog::warn("operator's state not read, version {} stays: {}",
+                   operator_.version, state.status().ToString());
+    }
+    if (!ShouldRead()) {
+      reading_operator_ = false;
+      return;
+    }
+    const Duration pause = !state.ok() ? kRetryPause
+                           : changed   ? kOperatorPause
+                                       : Duration(0);
+    operator_timer_.Start(pause, [this] { ReadOperator(); });
+  });
+}
+
+void FleetAgent::OnServers(const std::vector<BackendServer>& servers,
+                           Instant read_at) {
+  if (servers_.Update(servers, read_at)) {
+    ++servers_sequence_;
+    AnswerHeld();
+  }
+  listener_.on_servers(servers_.servers());
+}
+
+void FleetAgent::OnOperator(const OperatorState& state) {
+  if (state.version <= operator_.version) {
+    return;
+  }
+  const bool changed = state.document != operator_.document ||
+                       state.evacuated != operator_.evacuated;
+  operator_ = state;
+  if (changed) {
+    ++operator_sequence_;
+    listener_.on_operator(operator_);
+    AnswerHeld();
+  }
+}
+
+void FleetAgent::OnQuestion(const std::shared_ptr<HttpExchange>& exchange) {
+  const auto question = DecodeQuestion(exchange->body());
+  if (exchange->head().target != kRelayPath || !question) {
+    exchange->Respond(Plain(kBadRequest));
+    return;
+  }
+  if (leaving_ || !registered_) {
+    exchange->Respond(Plain(kUnavailable));
+    return;
+  }
+  const Instant now = EventLoop::Now();
+  HeldQuestion held{exchange, *question, now + kHold};
+  if (!order_.MayFollow(question->joined)) {
+    RelayAnswer answer;
+    answer.joined = order_.self().joined;
+    exchange->Respond(Plain(kConflict, EncodeAnswer(answer, now)));
+    return;
+  }
+  if (live_.Heard(question->front, question->ready, now)) {
+    ++live_sequence_;
+    AnswerHeld();
+  }
+  if (HasNews(*question)) {
+    SendAnswer(held);
+    return;
+  }
+  held_.push_back(std::move(held));
+}
+
+bool FleetAgent::HasNews(const RelayQuestion& question) const {
+  if (operator_sequence_ == 0 || servers_sequence_ == 0) {
+    return false;
+  }
+  return question.instance != instance_ ||
+         question.servers_sequence != servers_sequence_ ||
+         question.operator_sequence != operator_sequence_ ||
+         question.live_sequence != live_sequence_;
+}
+
+void FleetAgent::AnswerHeld() {
+  for (auto held = held_.begin(); held != held_.end();) {
+    if (HasNews(held->question)) {
+      SendAnswer(*held);
+      held = held_.erase(held);
+    } else {
+      ++held;
+    }
+  }
+}
+
+void FleetAgent::AnswerAllHeld() {
+  if (operator_sequence_ == 0) {
+    return;
+  }
+  for (HeldQuestion& held : held_) {
+    SendAnswer(held);
+  }
+  held_.clear();
+}
+
+void FleetAgent::SendAnswer(HeldQuestion& held) {
+  const Instant now = EventLoop::Now();
+  const RelayQuestion& question = held.question;
+  const bool same = question.instance == instance_;
+  RelayAnswer answer;
+  answer.instance = instance_;
+  answer.joined = order_.self().joined;
+  answer.age = now - confirmed_at_;
+  answer.host_count = host_count_;
+  answer.servers_sequence = servers_sequence_;
+  answer.operator_sequence = operator_sequence_;
+  answer.live_sequence = live_sequence_;
+  if (!same || question.servers_sequence != servers_sequence_) {
+    answer.servers = servers_.servers();
+  }
+  if (!same || question.operator_sequence != operator_sequence_) {
+    answer.operator_state = operator_;
+  }
+  if (!same || question.live_sequence != live_sequence_) {
+    answer.fronts = Fronts();
+  }
+  held.exchange->Respond(Plain(kOk, EncodeAnswer(answer, now)));
+}
+
+void FleetAgent::Tick() {
+  const Instant now = EventLoop::Now();
+  if (live_.Expire(now)) {
+    ++live_sequence_;
+    AnswerHeld();
+  }
+  for (auto held = held_.begin(); held != held_.end();) {
+    if (now >= held->until) {
+      SendAnswer(*held);
+      held = held_.erase(held);
+    } else {
+      ++held;
+    }
+  }
+  if (hosts_known_ && ShouldRead()) {
+    EnsureReading();
+  }
+  tick_timer_.Start(kTick, [this] { Tick(); });
+}
+
+void FleetAgent::set_ready(bool ready) {
+  if (ready_ != ready) {
+    ready_ = ready;
+    ++live_sequence_;
+    AnswerHeld();
+  }
+}
+
+void FleetAgent::StartLeaving() {
+  leaving_ = true;
+  for (HeldQuestion& held : held_) {
+    held.exchange->Respond(Plain(kUnavailable));
+  }
+  held_.clear();
+  if (!following_.empty()) {
+    // Tells the followed host at once.
+    if (const auto call = std::exchange(ask_, nullptr)) {
+      call->Cancel();
+    }
+    Follow();
+  }
+}
+
+std::vector<std::string> FleetAgent::Fronts() const {
+  std::vector<std::string> fronts;
+  if (ready_ && !leaving_) {
+    fronts.push_back(order_.self().front);
+  }
+  const auto add = [&](const std::vector<std::string>& others) {
+    for (const std::string& front : others) {
+      const bool known =
+          std::find(fronts.begin(), fronts.end(), front) != fronts.end();
+      if (!known && front != order_.self().front) {
+        fronts.push_back(front);
+      }
+    }
+  };
+  add(live_.Fronts());
+  add(followed_fronts_);
+  return fronts;
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/relay_codec.cc
@@ -0,0 +1,144 @@
+#include "libheathergate/relay_codec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+using heathersteer::BackendServer;
+using heathersteer::OperatorState;
+using nlohmann::json;
+
+json FromServer(const BackendServer& server, Instant now) {
+  const Duration cold = std::max(Duration(0), server.cold_until - now);
+  return {{"id", server.id},           {"service", server.service},
+          {"address", server.address}, {"port", server.port},
+          {"region", server.region},   {"domain", server.domain},
+          {"slots", server.slots},     {"draining", server.draining},
+          {"cold_us", cold.count()},   {"started_ms", server.started_ms}};
+}
+
+BackendServer ToServer(const json& value, Instant now) {
+  BackendServer server;
+  server.id = value.at("id").get<std::string>();
+  server.service = value.at("service").get<std::string>();
+  server.address = value.at("address").get<std::string>();
+  server.port = value.at("port").get<std::uint16_t>();
+  server.region = value.at("region").get<std::string>();
+  server.domain = value.at("domain").get<std::string>();
+  server.slots = value.at("slots").get<int>();
+  server.draining = value.at("draining").get<bool>();
+  const Duration cold(value.at("cold_us").get<std::int64_t>());
+  server.cold_until = cold.count() > 0 ? now + cold : Instant{0};
+  server.started_ms = value.at("started_ms").get<std::int64_t>();
+  return server;
+}
+
+json FromOperator(const OperatorState& state) {
+  return {{"version", state.version},
+          {"document", state.document},
+          {"evacuated", state.evacuated}};
+}
+
+OperatorState ToOperator(const json& value) {
+  OperatorState state;
+  state.version = value.at("version").get<std::uint64_t>();
+  state.document = value.at("document").get<std::string>();
+  state.evacuated = value.at("evacuated").get<std::set<std::string>>();
+  return state;
+}
+
+RelayAnswer ToAnswer(const json& value, Instant now) {
+  RelayAnswer answer;
+  answer.instance = value.at("instance").get<std::string>();
+  answer.joined = value.at("joined").get<std::uint64_t>();
+  answer.age = Duration(value.at("age_us").get<std::int64_t>());
+  answer.host_count = value.at("hosts").get<int>();
+  answer.servers_sequence = value.at("servers_sequence").get<std::uint64_t>();
+  answer.operator_sequence = value.at("operator_sequence").get<std::uint64_t>();
+  answer.live_sequence = value.at("live_sequence").get<std::uint64_t>();
+  if (value.contains("servers")) {
+    auto& servers = answer.servers.emplace();
+    for (const json& server : value.at("servers")) {
+      servers.push_back(ToServer(server, now));
+    }
+  }
+  if (value.contains("operator")) {
+    answer.operator_state = ToOperator(value.at("operator"));
+  }
+  if (value.contains("fronts")) {
+    answer.fronts = value.at("fronts").get<std::vector<std::string>>();
+  }
+  return answer;
+}
+
+}  // namespace
+
+std::string EncodeAnswer(const RelayAnswer& answer, Instant now) {
+  json value = {{"instance", answer.instance},
+                {"joined", answer.joined},
+                {"age_us", answer.age.count()},
+                {"hosts", answer.host_count},
+                {"servers_sequence", answer.servers_sequence},
+                {"operator_sequence", answer.operator_sequence},
+                {"live_sequence", answer.live_sequence}};
+  if (answer.servers) {
+    json& servers = value["servers"] = json::array();
+    for (const BackendServer& server : *answer.servers) {
+      servers.push_back(FromServer(server, now));
+    }
+  }
+  if (answer.operator_state) {
+    value["operator"] = FromOperator(*answer.operator_state);
+  }
+  if (answer.fronts) {
+    value["fronts"] = *answer.fronts;
+  }
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<RelayAnswer> DecodeAnswer(const std::string& text, Instant now) {
+  try {
+    return ToAnswer(json::parse(text), now);
+  } catch (const json::exception&) {
+    return std::nullopt;  // The caller reports which host sent it.
+  }
+}
+
+std::string EncodeQuestion(const RelayQuestion& question) {
+  return json{{"name", question.name},
+              {"front", question.front},
+              {"joined", question.joined},
+              {"ready", question.ready},
+              {"instance", question.instance},
+              {"servers_sequence", question.servers_sequence},
+              {"operator_sequence", question.operator_sequence},
+              {"live_sequence", question.live_sequence}}
+      .dump();
+}
+
+std::optional<RelayQuestion> DecodeQuestion(const std::string& text) {
+  try {
+    const json value = json::parse(text);
+    RelayQuestion question;
+    question.name = value.at("name").get<std::string>();
+    question.front = value.at("front").get<std::string>();
+    question.joined = value.at("joined").get<std::uint64_t>();
+    question.ready = value.at("ready").get<bool>();
+    question.instance = value.at("instance").get<std::string>();
+    question.servers_sequence =
+        value.at("servers_sequence").get<std::uint64_t>();
+    question.operator_sequence =
+        value.at("operator_sequence").get<std::uint64_t>();
+    question.live_sequence = value.at("live_sequence").get<std::uint64_t>();
+    return question;
+  } catch (const json::exception&) {
+    return std::nullopt;  // The caller answers 400.
+  }
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/relay_codec.h
@@ -0,0 +1,55 @@
+#ifndef LIBHEATHERGATE_RELAY_CODEC_H_
+#define LIBHEATHERGATE_RELAY_CODEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "heatherlever/instant.h"
+#include "heathersteer/backend_server.h"
+#include "heathersteer/operator_state.h"
+
+namespace heathergate {
+
+/// What a following host asks, with what it knows already.
+struct RelayQuestion {
+  std::string name;
+  std::string front;
+  std::uint64_t joined = 0;
+  bool ready = false;
+  /// The asked host's life that the sequence numbers belong to.
+  std::string instance;
+  std::uint64_t servers_sequence = 0;
+  std::uint64_t operator_sequence = 0;
+  std::uint64_t live_sequence = 0;
+};
+
+/// The news of the host that is followed. Parts without news are absent.
+struct RelayAnswer {
+  std::string instance;
+  std::uint64_t joined = 0;
+  /// Time since the store was last read.
+  heatherlever::Duration age{0};
+  int host_count = 0;
+  std::uint64_t servers_sequence = 0;
+  std::uint64_t operator_sequence = 0;
+  std::uint64_t live_sequence = 0;
+  std::optional<std::vector<heathersteer::BackendServer>> servers;
+  std::optional<heathersteer::OperatorState> operator_state;
+  std::optional<std::vector<std::string>> fronts;
+};
+
+/// Instants of servers are sent as times from `now`.
+std::string EncodeAnswer(const RelayAnswer& answer, heatherlever::Instant now);
+
+std::optional<RelayAnswer> DecodeAnswer(const std::string& text,
+                                        heatherlever::Instant now);
+
+std::string EncodeQuestion(const RelayQuestion& question);
+
+std::optional<RelayQuestion> DecodeQuestion(const std::string& text);
+
+}  // namespace heathergate
+
+#endif  // LIBHEATHERGATE_RELAY_CODEC_H_
--- /dev/null
+++ b/src/libheathersteer/live_hosts.cc
@@ -0,0 +1,39 @@
+#include "heathersteer/live_hosts.h"
+
+namespace heathersteer {
+namespace {
+
+// Silence after which a host counts as gone; nearly twice the longest time
+// between two of its reports.
+constexpr heatherlever::Duration kSilence = std::chrono::milliseconds(1800);
+
+}  // namespace
+
+bool LiveHosts::Heard(const std::string& front,
+                      bool ready,
+                      heatherlever::Instant now) {
+  if (!ready) {
+    return Remove(front);
+  }
+  return heard_.insert_or_assign(front, now).second;
+}
+
+bool LiveHosts::Remove(const std::string& front) {
+  return heard_.erase(front) > 0;
+}
+
+bool LiveHosts::Expire(heatherlever::Instant now) {
+  return std::erase_if(heard_, [&](const auto& entry) {
+           return now - entry.second > kSilence;
+         }) > 0;
+}
+
+std::vector<std::string> LiveHosts::Fronts() const {
+  std::vector<std::string> fronts;
+  for (const auto& [front, heard] : heard_) {
+    fronts.push_back(front);
+  }
+  return fronts;
+}
+
+}  // namespace heathersteer
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 #include "heathersteer/hash.h"
 #include "heathersteer/route.h"
@@ -103,7 +104,9 @@
   int considered = 0;
   for (const Candidate& candidate : ranked) {
     ServerState& state = *candidate.server;
-    if (state.cold(now) && !state.cold_pace.Ready(now)) {
+    if (state.cold(now) &&
+        !state.cold_pace.Ready(now, ColdPause(*request.service),
+                               UnitHash(options_.host, state.server.id))) {
       continue;
     }
     const double load = state.load.Estimate(now);
@@ -130,9 +133,15 @@
                        Instant now) const {
   state.load.Sent();
   if (state.cold(now)) {
-    const double rate = std::max(service.cold_requests_per_s, kLeastColdRate);
-    state.cold_pace.Take(now, rate / options_.hosts);
+    state.cold_pace.Take(now, ColdPause(service));
   }
 }
 
+Duration Placement::ColdPause(const Service& service) const {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const double rate = std::max(service.cold_requests_per_s, kLeastColdRate);
+  return Duration(static_cast<std::int64_t>(options_.hosts / rate *
+                                            kMicrosecondsPerSecond));
+}
+
 }  // namespace heathersteer
--- /dev/null
+++ b/src/libheathersteer/relay_order.cc
@@ -0,0 +1,62 @@
+#include "heathersteer/relay_order.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+
+// Time for which a host that failed is passed over; it is then tried again, as
+// the first in the order serves best.
+constexpr Duration kPassedOver = std::chrono::seconds(3);
+
+bool Precedes(const HostRecord& a, const HostRecord& b) {
+  return std::tie(a.joined, a.name) < std::tie(b.joined, b.name);
+}
+
+}  // namespace
+
+void RelayOrder::SetHosts(const std::vector<HostRecord>& hosts) {
+  std::map<std::string, HostRecord> known;
+  for (const HostRecord& host : hosts) {
+    if (host.domain != self_.domain || host.name == self_.name) {
+      continue;
+    }
+    HostRecord& entry = known[host.name] = host;
+    const auto before = hosts_.find(host.name);
+    if (before != hosts_.end()) {
+      entry.joined = std::max(entry.joined, before->second.joined);
+    }
+  }
+  hosts_ = std::move(known);
+}
+
+void RelayOrder::Learn(const std::string& name, std::uint64_t joined) {
+  const auto found = hosts_.find(name);
+  if (found != hosts_.end()) {
+    found->second.joined = std::max(found->second.joined, joined);
+  }
+}
+
+void RelayOrder::Failed(const std::string& name, Instant now) {
+  passed_over_until_[name] = now + kPassedOver;
+}
+
+std::optional<HostRecord> RelayOrder::Choose(Instant now) const {
+  std::optional<HostRecord> first;
+  for (const auto& [name, host] : hosts_) {
+    const auto passed = passed_over_until_.find(name);
+    if (passed != passed_over_until_.end() && now < passed->second) {
+      continue;
+    }
+    if (Precedes(host, self_) && (!first || Precedes(host, *first))) {
+      first = host;
+    }
+  }
+  return first;
+}
+
+}  // namespace heathersteer
--- a/src/libheathersteer/token_pace.cc
+++ b/src/libheathersteer/token_pace.cc
@@ -4,11 +4,25 @@
 #include <cstdint>
 
 namespace heathersteer {
+namespace {
 
-void TokenPace::Take(heatherlever::Instant now, double per_s) {
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  const heatherlever::Duration pause(
-      static_cast<std::int64_t>(kMicrosecondsPerSecond / per_s));
+using heatherlever::Duration;
+using heatherlever::Instant;
+
+// Pauses without an event after which a pace begins anew.
+constexpr int kRestPauses = 2;
+
+}  // namespace
+
+bool TokenPace::Ready(Instant now, Duration pause, double phase) {
+  if (now > next_ + pause * kRestPauses) {
+    const auto wait = static_cast<double>(pause.count()) * phase;
+    next_ = now + Duration(static_cast<std::int64_t>(wait));
+  }
+  return now >= next_;
+}
+
+void TokenPace::Take(Instant now, Duration pause) {
   next_ = std::max(now, next_) + pause;
 }
 
