Mirror the relayed server list whole, and follow the feed anew after an outage

A relay that had been cut off handed its returning servers to others. Ruled out: lost relay answers (no 'no news' lines on the hosts concerned). A list is known as of the time at which it was last whole, and only newer ones replace it.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -70,8 +70,7 @@
   void EnsureReading();
   void ReadServers();
   void ReadOperator();
-  void OnServers(const std::vector<heathersteer::BackendServer>& servers,
-                 heatherlever::Instant read_at);
+  void OnServersChanged();
   void OnOperator(const heathersteer::OperatorState& state);
   void OnQuestion(const std::shared_ptr<HttpExchange>& exchange);
   bool HasNews(const RelayQuestion& question) const;
@@ -111,12 +110,14 @@
   std::vector<std::string> followed_fronts_;
   // Empty while this host reads the store for its domain.
   std::string following_;
-  heatherlever::Instant confirmed_at_{0};
+  heatherlever::Instant started_at_{0};
   int host_count_ = 1;
   bool registered_ = false;
   bool hosts_known_ = false;
   bool reading_servers_ = false;
   bool reading_operator_ = false;
+  // Whether the last read of the backend servers failed.
+  bool store_failed_ = false;
   bool ready_ = false;
   bool leaving_ = false;
 };
--- a/src/include/heathergate/fleet_source.h
+++ b/src/include/heathergate/fleet_source.h
@@ -26,6 +26,10 @@
   /// has changed, or unchanged after some seconds.
   virtual void FollowOperator(Done<heathersteer::OperatorState> done) = 0;
 
+  /// Sends a call of FollowOperator that is under way once more, on another
+  /// connection: the store was away, and the call may have been lost.
+  virtual void RestartFollow() = 0;
+
   virtual void ReadServers(
       Done<std::vector<heathersteer::BackendServer>> done) = 0;
 
--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -2,6 +2,7 @@
 #define HEATHERSTEER_SERVER_LIST_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,25 +11,37 @@
 
 namespace heathersteer {
 
-/// The platform's list of backend servers as last read. After an outage of the
-/// store, servers that it lost meanwhile stay listed until they had time to
-/// register again.
+/// The platform's list of backend servers. After an outage of the store, servers
+/// that it lost meanwhile stay listed until they had time to register again;
+/// until then the list counts as known as of before the outage.
 class ServerList {
  public:
-  /// Takes in a whole list. Returns whether a server came, went or changed, but
-  /// for the passing of its cold time.
+  /// Takes in a whole list that this host read from the store. Returns whether
+  /// a server came, went or changed, but for the passing of its cold time.
   bool Update(const std::vector<BackendServer>& servers,
               heatherlever::Instant now);
 
+  /// Takes over another host's list, known as of `known_at`, if it is newer.
+  /// Returns whether it was taken.
+  bool Mirror(const std::vector<BackendServer>& servers,
+              heatherlever::Instant known_at);
+
+  /// Another host states that the list it sent is known as of `known_at`.
+  void Confirm(heatherlever::Instant known_at);
+
   std::vector<BackendServer> servers() const;
 
-  /// When the list was read from the store, by this host or another one.
-  heatherlever::Instant read_at() const { return read_at_; }
+  /// As of when the list is known to be whole; 0 before the first one.
+  heatherlever::Instant known_at() const { return known_at_; }
 
  private:
+  bool Merge(const std::vector<BackendServer>& servers);
+  bool DropMissing(const std::vector<BackendServer>& servers);
+
   std::map<std::string, BackendServer> by_id_;
-  heatherlever::Instant read_at_{0};
-  heatherlever::Instant keep_missing_until_{0};
+  heatherlever::Instant known_at_{0};
+  // First read after an outage.
+  std::optional<heatherlever::Instant> back_since_;
 };
 
 }  // namespace heathersteer
--- a/src/include/heathersteer/server_table.h
+++ b/src/include/heathersteer/server_table.h
@@ -25,8 +25,8 @@
 
   void Remove(const std::string& id);
 
-  /// Removes every server whose id is not in `ids`.
-  void KeepOnly(const std::set<std::string>& ids);
+  /// Removes every server whose id is not in `ids`; returns the removed ones.
+  std::vector<std::string> KeepOnly(const std::set<std::string>& ids);
 
   /// Failure domains whose servers get no requests.
   void SetEvacuated(std::set<std::string> domains);
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -105,8 +105,7 @@
 FleetAgent::~FleetAgent() = default;
 
 void FleetAgent::Start() {
-  // Time for the first answer of a followed host.
-  confirmed_at_ = EventLoop::Now();
+  started_at_ = EventLoop::Now();
   Register();
   Tick();
 }
@@ -233,17 +232,21 @@
 }
 
 void FleetAgent::TakeAnswer(const RelayAnswer& answer) {
-  const Instant read_at = EventLoop::Now() - answer.age;
-  confirmed_at_ = std::max(confirmed_at_, read_at);
+  const Instant known_at = EventLoop::Now() - answer.age;
   followed_instance_ = answer.instance;
-  followed_servers_ = answer.servers_sequence;
   followed_operator_ = answer.operator_sequence;
   followed_live_ = answer.live_sequence;
   if (answer.operator_state) {
     OnOperator(*answer.operator_state);
   }
-  if (answer.servers && read_at >= servers_.read_at()) {
-    OnServers(*answer.servers, read_at);
+  if (!answer.servers) {
+    servers_.Confirm(known_at);
+  } else if (servers_.Mirror(*answer.servers, known_at)) {
+    followed_servers_ = answer.servers_sequence;
+    OnServersChanged();
+  } else {
+    // Older than the own list: to be sent again once it is newer.
+    followed_servers_ = 0;
   }
   if (answer.fronts) {
     followed_fronts_ = *answer.fronts;
@@ -258,7 +261,8 @@
 }
 
 bool FleetAgent::ShouldRead() const {
-  return following_.empty() || EventLoop::Now() - confirmed_at_ > kStale;
+  const Instant known_at = std::max(servers_.known_at(), started_at_);
+  return following_.empty() || EventLoop::Now() - known_at > kStale;
 }
 
 void FleetAgent::EnsureReading() {
@@ -277,13 +281,18 @@
   source_.ReadServers([this, asked_at](
                           absl::StatusOr<std::vector<BackendServer>> servers) {
     if (servers.ok()) {
-      confirmed_at_ = std::max(confirmed_at_, asked_at);
-      OnServers(*servers, EventLoop::Now());
+      if (servers_.Update(*servers, asked_at)) {
+        OnServersChanged();
+      }
       AnswerAllHeld();
+      if (std::exchange(store_failed_, false)) {
+        source_.RestartFollow();
+      }
     } else {
+      store_failed_ = true;
       spdlog::warn("backend servers not read, the list of {} ms ago stays: {}",
                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                       asked_at - servers_.read_at())
+                       asked_at - servers_.known_at())
                        .count(),
                    servers.status().ToString());
     }
@@ -317,12 +326,9 @@
   });
 }
 
-void FleetAgent::OnServers(const std::vector<BackendServer>& servers,
-                           Instant read_at) {
-  if (servers_.Update(servers, read_at)) {
-    ++servers_sequence_;
-    AnswerHeld();
-  }
+void FleetAgent::OnServersChanged() {
+  ++servers_sequence_;
+  AnswerHeld();
   listener_.on_servers(servers_.servers());
 }
 
@@ -407,7 +413,7 @@
   RelayAnswer answer;
   answer.instance = instance_;
   answer.joined = order_.self().joined;
-  answer.age = now - confirmed_at_;
+  answer.age = now - servers_.known_at();
   answer.host_count = host_count_;
   answer.servers_sequence = servers_sequence_;
   answer.operator_sequence = operator_sequence_;
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -1,5 +1,6 @@
 #include "heathersteer/server_list.h"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 
@@ -28,27 +29,56 @@
 
 bool ServerList::Update(const std::vector<BackendServer>& servers,
                         Instant now) {
-  if (read_at_.count() > 0 && now - read_at_ > kOutage) {
-    keep_missing_until_ = now + kReturnTime;
+  const bool changed = Merge(servers);
+  if (known_at_.count() > 0 && now - known_at_ > kOutage) {
+    if (!back_since_) {
+      back_since_ = now;
+    }
+    if (now - *back_since_ < kReturnTime) {
+      return changed;
+    }
+  }
+  back_since_.reset();
+  known_at_ = now;
+  return DropMissing(servers) || changed;
+}
+
+bool ServerList::Mirror(const std::vector<BackendServer>& servers,
+                        Instant known_at) {
+  if (known_at < known_at_) {
+    return false;
   }
-  read_at_ = now;
+  known_at_ = known_at;
+  back_since_.reset();
+  Merge(servers);
+  DropMissing(servers);
+  return true;
+}
+
+void ServerList::Confirm(Instant known_at) {
+  known_at_ = std::max(known_at_, known_at);
+}
+
+bool ServerList::Merge(const std::vector<BackendServer>& servers) {
   bool changed = false;
-  std::set<std::string> present;
   for (const BackendServer& server : servers) {
-    present.insert(server.id);
     const auto [entry, added] = by_id_.try_emplace(server.id, server);
     if (added || !SameButForTime(entry->second, server)) {
       entry->second = server;
       changed = true;
     }
   }
-  if (now < keep_missing_until_) {
-    return changed;
+  return changed;
+}
+
+bool ServerList::DropMissing(const std::vector<BackendServer>& servers) {
+  std::set<std::string> present;
+  for (const BackendServer& server : servers) {
+    present.insert(server.id);
   }
-  const auto missing = [&](const auto& entry) {
-    return !present.contains(entry.first);
-  };
-  return std::erase_if(by_id_, missing) > 0 || changed;
+  return std::erase_if(by_id_, [&](const auto& entry) {
+           return !present.contains(entry.first);
+         }) > 0;
 }
 
 std::vector<BackendServer> ServerList::servers() const {
--- a/src/libheathersteer/server_table.cc
+++ b/src/libheathersteer/server_table.cc
@@ -37,7 +37,8 @@
   by_id_.erase(found);
 }
 
-void ServerTable::KeepOnly(const std::set<std::string>& ids) {
+std::vector<std::string> ServerTable::KeepOnly(
+    const std::set<std::string>& ids) {
   std::vector<std::string> gone;
   for (const auto& [id, state] : by_id_) {
     if (!ids.contains(id)) {
@@ -47,6 +48,7 @@
   for (const std::string& id : gone) {
     Remove(id);
   }
+  return gone;
 }
 
 void ServerTable::Unlink(const std::shared_ptr<ServerState>& state) {
