Bound the servers that one affinity key may reach to those where it is warm

Cause: when both choices were full, a request went to any server with a free slot. Conclusion: kept: two servers of the own region, and in each other region the one that its own hosts prefer for the key.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -31,10 +31,10 @@
   std::function<void(int)> on_host_count;
 };
 
-/// Keeps an entry host informed of the operator's state, the backend servers and
-/// the other hosts of its domain. In each domain one host reads the store; the
-/// others ask it over the network between hosts and read the store themselves
-/// only while they can't reach it or its news are old.
+/// Keeps an entry host informed of the operator's state, the backend servers
+/// and the other hosts of its domain. In each domain one host reads the store;
+/// the others ask it over the network between hosts and read the store
+/// themselves only while they can't reach it or its news are old.
 class FleetAgent {
  public:
   FleetAgent(EventLoop& loop,
--- a/src/include/heathersteer/placement_options.h
+++ b/src/include/heathersteer/placement_options.h
@@ -15,8 +15,12 @@
   double other_region_weight = 0.15;
   /// Weight of servers in another failure domain of the own region.
   double other_domain_weight = 0.5;
-  /// Servers that are considered for one affinity key while they have room.
-  int choices = 2;
+  /// Servers of the own region that are considered for one affinity key.
+  int near_choices = 2;
+  /// Servers of each other region that are considered for it. They are the ones
+  /// that their own region's hosts prefer for the key, so that it is warm
+  /// there.
+  int far_choices = 1;
   /// Hosts that send to the same servers.
   int hosts = 1;
 };
--- a/src/include/heathersteer/relay_order.h
+++ b/src/include/heathersteer/relay_order.h
@@ -13,8 +13,9 @@
 namespace heathersteer {
 
 /// Decides from which host of its domain an entry host takes the platform's
-/// news. Hosts follow the one that registered first; a host that nobody precedes
-/// reads the platform's store itself. Few hosts read that way, at any size.
+/// news. Hosts follow the one that registered first; a host that nobody
+/// precedes reads the platform's store itself. Few hosts read that way, at any
+/// size.
 class RelayOrder {
  public:
   explicit RelayOrder(HostRecord self) : self_(std::move(self)) {}
--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -11,9 +11,9 @@
 
 namespace heathersteer {
 
-/// The platform's list of backend servers. After an outage of the store, servers
-/// that it lost meanwhile stay listed until they had time to register again;
-/// until then the list counts as known as of before the outage.
+/// The platform's list of backend servers. After an outage of the store,
+/// servers that it lost meanwhile stay listed until they had time to register
+/// again; until then the list counts as known as of before the outage.
 class ServerList {
  public:
   /// Takes in a whole list that this host read from the store. Returns whether
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -22,8 +22,8 @@
 // Pause between reads of the backend servers by the host that reads for its
 // domain: drains have to be known everywhere within two seconds.
 constexpr Duration kServersPause = std::chrono::milliseconds(900);
-// Pause after a change of the operator's state, so that a storm of changes costs
-// few calls.
+// Pause after a change of the operator's state, so that a storm of changes
+// costs few calls.
 constexpr Duration kOperatorPause = std::chrono::milliseconds(150);
 // Pause after a call to the store that failed.
 constexpr Duration kRetryPause = std::chrono::milliseconds(600);
@@ -128,27 +128,28 @@
 
 void FleetAgent::ReadHosts() {
   const bool first = !hosts_known_;
-  source_.ReadHosts([this, first](absl::StatusOr<std::vector<HostRecord>> hosts) {
-    if (!hosts.ok()) {
-      spdlog::warn("registrations not read: {}", hosts.status().ToString());
-      EnsureReading();
-      hosts_timer_.Start(kRetryPause, [this] { ReadHosts(); });
-      return;
-    }
-    hosts_known_ = true;
-    order_.SetHosts(*hosts);
-    host_count_ = std::max(1, static_cast<int>(hosts->size()));
-    listener_.on_host_count(host_count_);
-    if (first) {
-      Follow();
-    }
-    // Followers learn of others from the host that they follow.
-    hosts_timer_.Start(first ? kFirstHostsPause : kHostsPause, [this] {
-      if (following_.empty()) {
-        ReadHosts();
-      }
-    });
-  });
+  source_.ReadHosts(
+      [this, first](absl::StatusOr<std::vector<HostRecord>> hosts) {
+        if (!hosts.ok()) {
+          spdlog::warn("registrations not read: {}", hosts.status().ToString());
+          EnsureReading();
+          hosts_timer_.Start(kRetryPause, [this] { ReadHosts(); });
+          return;
+        }
+        hosts_known_ = true;
+        order_.SetHosts(*hosts);
+        host_count_ = std::max(1, static_cast<int>(hosts->size()));
+        listener_.on_host_count(host_count_);
+        if (first) {
+          Follow();
+        }
+        // Followers learn of others from the host that they follow.
+        hosts_timer_.Start(first ? kFirstHostsPause : kHostsPause, [this] {
+          if (following_.empty()) {
+            ReadHosts();
+          }
+        });
+      });
 }
 
 void FleetAgent::Follow() {
@@ -185,10 +186,9 @@
       .operator_sequence = same ? followed_operator_ : 0,
       .live_sequence = same ? followed_live_ : 0};
   const std::string body = EncodeQuestion(question);
-  const std::string head = std::string("POST ") + kRelayPath +
-                           " HTTP/1.1\r\nHost: " + host.name +
-                           "\r\nContent-Length: " +
-                           std::to_string(body.size()) + "\r\n\r\n";
+  const std::string head =
+      std::string("POST ") + kRelayPath + " HTTP/1.1\r\nHost: " + host.name +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   ask_timer_.Start(kHold + kAnswerSlack, [this, host] {
     if (const auto call = std::exchange(ask_, nullptr)) {
       call->Cancel();
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <map>
 
 #include "heathersteer/hash.h"
 #include "heathersteer/route.h"
@@ -99,9 +100,8 @@
   const std::vector<Candidate> ranked = Rank(table, request, now);
   PlacementChoice choice;
   choice.candidates = static_cast<int>(ranked.size());
-  std::shared_ptr<ServerState> best;
   double best_load = 1;
-  int considered = 0;
+  std::map<std::string_view, int> taken_by_region;
   for (const Candidate& candidate : ranked) {
     ServerState& state = *candidate.server;
     if (state.cold(now) &&
@@ -109,22 +109,22 @@
                                UnitHash(options_.host, state.server.id))) {
       continue;
     }
+    const bool near = state.server.region == options_.region;
+    const int most = near ? options_.near_choices : options_.far_choices;
+    if (++taken_by_region[state.server.region] > most) {
+      continue;
+    }
     const double load = state.load.Estimate(now);
     if (load < state.server.slots) {
       choice.server = candidate.server;
       return choice;
     }
     const double filled = load / Limit(state, *request.route, now);
-    if (considered < options_.choices && filled < best_load) {
-      best = candidate.server;
+    if (filled < best_load) {
+      choice.server = candidate.server;
       best_load = filled;
     }
-    ++considered;
-    if (considered >= options_.choices && best != nullptr) {
-      break;
-    }
   }
-  choice.server = best;
   return choice;
 }
 
