--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -69,6 +69,7 @@
   bool ShouldRead() const;
   void EnsureReading();
   void ReadServers();
+  heatherlever::Duration ServersPause(bool succeeded) const;
   void ReadOperator();
   void OnServersChanged();
   void OnOperator(const heathersteer::OperatorState& state);
@@ -116,6 +117,8 @@
   bool hosts_known_ = false;
   bool reading_servers_ = false;
   bool reading_operator_ = false;
+  // Whether a read of the backend servers is under way.
+  bool reading_servers_now_ = false;
   // Whether the last read of the backend servers failed.
   bool store_failed_ = false;
   bool ready_ = false;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -42,6 +42,8 @@
 constexpr Duration kFollowPause = std::chrono::milliseconds(20);
 // Age of the followed host's news from which on this host reads for itself.
 constexpr Duration kStale = std::chrono::milliseconds(1400);
+// Lateness of timers that a planned read allows for.
+constexpr Duration kTimerSlack = std::chrono::milliseconds(5);
 constexpr Duration kTick = std::chrono::milliseconds(150);
 
 constexpr int kOk = 200;
@@ -277,9 +279,11 @@
 }
 
 void FleetAgent::ReadServers() {
+  reading_servers_now_ = true;
   const Instant asked_at = EventLoop::Now();
   source_.ReadServers([this, asked_at](
                           absl::StatusOr<std::vector<BackendServer>> servers) {
+    reading_servers_now_ = false;
     if (servers.ok()) {
       if (servers_.Update(*servers, asked_at)) {
         OnServersChanged();
@@ -300,17 +304,32 @@
       reading_servers_ = false;
       return;
     }
-    servers_timer_.Start(servers.ok() ? kServersPause : kRetryPause,
+    servers_timer_.Start(ServersPause(servers.ok()),
                          [this] { ReadServers(); });
   });
 }
 
+Duration FleetAgent::ServersPause(bool succeeded) const {
+  if (!succeeded) {
+    return kRetryPause;
+  }
+  // Servers that did not return are dropped as soon as the rule allows it.
+  const Duration left = servers_.return_time_left(EventLoop::Now());
+  return left.count() > 0 ? std::min(left + kTimerSlack, kServersPause)
+                          : kServersPause;
+}
+
 void FleetAgent::ReadOperator() {
   source_.FollowOperator([this](absl::StatusOr<OperatorState> state) {
     bool changed = false;
     if (state.ok()) {
       changed = state->version != operator_.version;
       OnOperator(*state);
+      if (store_failed_ && reading_servers_ && !reading_servers_now_) {
+        // The store is back: the servers need not wait for their retry.
+        servers_timer_.Cancel();
+        ReadServers();
+      }
     } else {
       spdlog::warn("operator's state not read, version {} stays: {}",
                    operator_.version, state.status().ToString());
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -81,6 +81,13 @@
          }) > 0;
 }
 
+Duration ServerList::return_time_left(Instant now) const {
+  if (!back_since_) {
+    return Duration(0);
+  }
+  return std::max(Duration(0), *back_since_ + kReturnTime - now);
+}
+
 std::vector<BackendServer> ServerList::servers() const {
   std::vector<BackendServer> list;
   for (const auto& [id, server] : by_id_) {
