--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -2,6 +2,9 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cctype>
+
 #include "heathergate/http_head.h"
 
 namespace heathergate {
@@ -19,6 +22,7 @@
   bool head_complete = false;
   bool complete = false;
   bool no_body = false;
+  bool head_too_large = false;
   bool body_too_large = false;
 };
 
@@ -30,6 +34,24 @@
 constexpr int kSkipBody = 1;
 constexpr int kStopParser = -1;
 
+// A token of RFC 9110: http_parser lets spaces in names pass.
+bool IsToken(const std::string& name) {
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  return !name.empty() &&
+         std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+           return std::isalnum(c) != 0 ||
+                  kSymbols.find(static_cast<char>(c)) != std::string_view::npos;
+         });
+}
+
+std::size_t HeadBytes(const HttpHead& head) {
+  std::size_t bytes = head.target.size();
+  for (const HeaderField& field : head.fields) {
+    bytes += field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 template <typename Impl>
 Impl& Of(http_parser* parser) {
   return *static_cast<Impl*>(parser->data);
@@ -72,6 +94,17 @@
       impl.head.method =
           http_method_str(static_cast<http_method>(parser->method));
     }
+    const auto valid = [](const HeaderField& field) {
+      return IsToken(field.name);
+    };
+    const auto& fields = impl.head.fields;
+    if (!std::all_of(fields.begin(), fields.end(), valid)) {
+      return kStopParser;
+    }
+    if (HeadBytes(impl.head) > impl.limits.head_bytes) {
+      impl.head_too_large = true;
+      return kStopParser;
+    }
     constexpr auto kUnknownLength = static_cast<std::uint64_t>(-1);
     if (parser->content_length != kUnknownLength &&
         parser->content_length > impl.limits.body_bytes) {
@@ -128,6 +161,7 @@
   impl_->in_value = false;
   impl_->head_complete = false;
   impl_->complete = false;
+  impl_->head_too_large = false;
   impl_->body_too_large = false;
 }
 
@@ -139,6 +173,9 @@
     const std::size_t taken = http_parser_execute(
         &impl_->parser, &impl_->settings, rest.data(), rest.size());
     *used += taken;
+    if (impl_->head_too_large) {
+      return ReadStatus::kHeadTooLarge;
+    }
     if (impl_->body_too_large) {
       return ReadStatus::kBodyTooLarge;
     }
--- /dev/null
+++ b/src/libheathergate/relay_codec_test.cc
@@ -0,0 +1,49 @@
+#include "libheathergate/relay_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace heathergate {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(RelayCodecTest, AnswersKeepTheirNewsAndTheColdTimeLeft) {
+  RelayAnswer answer;
+  answer.instance = "one";
+  answer.joined = 7;
+  answer.age = milliseconds(300);
+  answer.host_count = 22;
+  answer.servers_sequence = 3;
+  heathersteer::BackendServer server;
+  server.id = "i-1";
+  server.cold_until = seconds(13);
+  answer.servers.emplace().push_back(server);
+  answer.operator_state.emplace().document = "{\"version\":7}";
+  answer.fronts = {"10.0.0.1:80"};
+  const auto decoded =
+      DecodeAnswer(EncodeAnswer(answer, seconds(10)), seconds(500));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->age, milliseconds(300));
+  EXPECT_EQ(decoded->servers->front().cold_until, seconds(503));
+  EXPECT_EQ(*decoded->operator_state, *answer.operator_state);
+  EXPECT_EQ(*decoded->fronts, *answer.fronts);
+}
+
+TEST(RelayCodecTest, PartsWithoutNewsStayAbsent) {
+  const auto decoded =
+      DecodeAnswer(EncodeAnswer(RelayAnswer{}, seconds(1)), seconds(1));
+  ASSERT_TRUE(decoded);
+  EXPECT_FALSE(decoded->servers);
+  EXPECT_FALSE(decoded->operator_state);
+  EXPECT_FALSE(decoded->fronts);
+}
+
+TEST(RelayCodecTest, ForeignTextsAreNothing) {
+  EXPECT_FALSE(DecodeAnswer("{\"instance\":1}", seconds(1)));
+  EXPECT_FALSE(DecodeAnswer("{", seconds(1)));
+  EXPECT_FALSE(DecodeQuestion("[]"));
+}
+
+}  // namespace
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathersteer/placement_test.cc
@@ -0,0 +1,200 @@
+#include "heathersteer/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "heathersteer/route.h"
+#include "heathersteer/service.h"
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kNow = seconds(100);
+constexpr int kServersPerRegion = 6;
+constexpr int kSlots = 3;
+constexpr int kKeys = 68;
+
+BackendServer MakeServer(const std::string& id, const std::string& region) {
+  BackendServer server;
+  server.id = id;
+  server.service = "proofs";
+  server.region = region;
+  server.domain = region + "-a";
+  server.slots = kSlots;
+  return server;
+}
+
+class PlacementTest : public ::testing::Test {
+ protected:
+  PlacementTest() {
+    for (const std::string region : {"north", "south"}) {
+      for (int i = 0; i < kServersPerRegion; ++i) {
+        table_.Put(MakeServer(region + std::to_string(i), region));
+      }
+    }
+    service_.name = "proofs";
+    service_.cold_requests_per_s = 10;
+    route_.target_latency = milliseconds(200);
+    route_.timeout = seconds(1);
+  }
+
+  static PlacementOptions Options(const std::string& region,
+                                  const std::string& host = "host") {
+    PlacementOptions options;
+    options.host = host;
+    options.region = region;
+    options.domain = region + "-a";
+    return options;
+  }
+
+  std::shared_ptr<ServerState> Choose(const Placement& placement,
+                                      const std::string& key,
+                                      Instant now = kNow) {
+    const PlacementRequest request{&route_, &service_, key, &tried_};
+    return placement.Choose(table_, request, now).server;
+  }
+
+  void Fill(const std::string& id) {
+    for (int i = 0; i < kSlots * 3; ++i) {
+      table_.Find(id)->load.Sent();
+    }
+  }
+
+  ServerTable table_;
+  Route route_;
+  Service service_;
+  std::vector<std::string> tried_;
+};
+
+TEST_F(PlacementTest, HostsOfADomainAgreeOnEveryKey) {
+  const Placement first(Options("north", "first"));
+  const Placement second(Options("north", "second"));
+  for (int key = 0; key < kKeys; ++key) {
+    EXPECT_EQ(Choose(first, std::to_string(key)),
+              Choose(second, std::to_string(key)));
+  }
+}
+
+TEST_F(PlacementTest, PrefersTheOwnRegion) {
+  const Placement placement(Options("north"));
+  int near = 0;
+  for (int key = 0; key < kKeys; ++key) {
+    near += Choose(placement, std::to_string(key))->server.region == "north";
+  }
+  EXPECT_GT(near, kKeys / 2);
+}
+
+// Load pattern: every server is full for a while. Requests of one key must not
+// spread over all servers, which would make the key cold everywhere.
+TEST_F(PlacementTest, AKeyReachesFewServersHoweverFullTheyAre) {
+  const Placement placement(Options("north"));
+  for (int key = 0; key < kKeys; ++key) {
+    std::set<std::string> reached;
+    ServerTable fresh;
+    for (int i = 0; i < kServersPerRegion; ++i) {
+      fresh.Put(MakeServer("north" + std::to_string(i), "north"));
+      fresh.Put(MakeServer("south" + std::to_string(i), "south"));
+    }
+    table_ = fresh;
+    while (const auto server = Choose(placement, std::to_string(key))) {
+      reached.insert(server->server.id);
+      server->load.Sent();
+    }
+    EXPECT_LE(reached.size(), 3U) << "key " << key;
+  }
+}
+
+TEST_F(PlacementTest, OverflowGoesWhereTheOtherRegionKeepsTheKey) {
+  PlacementOptions far_only = Options("north");
+  far_only.near_choices = 0;
+  const Placement overflow(far_only);
+  const Placement native(Options("south"));
+  for (int key = 0; key < kKeys; ++key) {
+    const auto home = Choose(native, std::to_string(key));
+    if (home->server.region == "south") {
+      EXPECT_EQ(Choose(overflow, std::to_string(key)), home);
+    }
+  }
+}
+
+TEST_F(PlacementTest, DrainingEvacuatedAndTriedServersGetNothing) {
+  const Placement placement(Options("north"));
+  const auto first = Choose(placement, "7");
+  BackendServer draining = first->server;
+  draining.draining = true;
+  table_.Put(draining);
+  const auto second = Choose(placement, "7");
+  EXPECT_NE(second, first);
+  tried_.push_back(second->server.id);
+  EXPECT_NE(Choose(placement, "7"), second);
+  table_.SetEvacuated({"north-a"});
+  EXPECT_EQ(Choose(placement, "7")->server.region, "south");
+}
+
+TEST_F(PlacementTest, HomeRegionsBindEvenWhenFull) {
+  route_.home_regions = {"south"};
+  const Placement placement(Options("north"));
+  EXPECT_EQ(Choose(placement, "7")->server.region, "south");
+  for (int i = 0; i < kServersPerRegion; ++i) {
+    Fill("south" + std::to_string(i));
+  }
+  EXPECT_EQ(Choose(placement, "7"), nullptr);
+}
+
+// Load pattern: a failure domain returns cold under full load. All hosts
+// together keep to the rate that a cold server bears, in every second.
+TEST_F(PlacementTest, HostsTogetherKeepTheRateOfAColdServer) {
+  constexpr int kHosts = 22;
+  constexpr double kFactor = 1.5;
+  constexpr double kSlack = 5;
+  BackendServer cold = MakeServer("cold", "north");
+  cold.cold_until = kNow + seconds(30);
+  std::vector<Placement> hosts;
+  std::vector<ServerTable> tables(kHosts);
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.emplace_back(Options("north", "host" + std::to_string(i)));
+    hosts.back().set_hosts(kHosts);
+    tables[i].Put(cold);
+  }
+  std::vector<Instant> arrivals;
+  for (Instant now = kNow; now < kNow + seconds(20); now += milliseconds(20)) {
+    for (int i = 0; i < kHosts; ++i) {
+      const PlacementRequest request{&route_, &service_, "7", &tried_};
+      const auto server = hosts[i].Choose(tables[i], request, now).server;
+      if (server != nullptr) {
+        hosts[i].Commit(*server, service_, now);
+        server->load.Finished();
+        arrivals.push_back(now);
+      }
+    }
+  }
+  ASSERT_GT(arrivals.size(), 100U);
+  for (std::size_t i = 0; i < arrivals.size(); ++i) {
+    std::size_t last = i;
+    while (last < arrivals.size() &&
+           arrivals[last] - arrivals[i] < seconds(1)) {
+      ++last;
+    }
+    ASSERT_LE(last - i, service_.cold_requests_per_s * kFactor + kSlack);
+  }
+}
+
+TEST_F(PlacementTest, AServerThatFailedIsSuspendedAndThenOnProbation) {
+  const Placement placement(Options("north"));
+  const auto first = Choose(placement, "7");
+  first->evidence.Failed(kNow);
+  EXPECT_NE(Choose(placement, "7"), first);
+  EXPECT_TRUE(first->cold(kNow + seconds(1)));
+  EXPECT_FALSE(first->cold(kNow + seconds(10)));
+  EXPECT_EQ(Choose(placement, "7", kNow + seconds(10)), first);
+}
+
+}  // namespace
+}  // namespace heathersteer
--- /dev/null
+++ b/src/libheathersteer/relay_order_test.cc
@@ -0,0 +1,69 @@
+#include "heathersteer/relay_order.h"
+
+#include <gtest/gtest.h>
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Instant;
+using std::chrono::seconds;
+
+constexpr Instant kNow = seconds(100);
+
+HostRecord MakeHost(const std::string& name,
+                    std::uint64_t joined,
+                    const std::string& domain = "north-a") {
+  HostRecord host;
+  host.name = name;
+  host.domain = domain;
+  host.joined = joined;
+  return host;
+}
+
+class RelayOrderTest : public ::testing::Test {
+ protected:
+  RelayOrderTest() : order_(MakeHost("self", 5)) {
+    order_.SetHosts({MakeHost("first", 1), MakeHost("second", 2),
+                     MakeHost("self", 5), MakeHost("later", 9),
+                     MakeHost("elsewhere", 0, "south-a")});
+  }
+
+  std::string Chosen(Instant now) const {
+    const auto host = order_.Choose(now);
+    return host ? host->name : "";
+  }
+
+  RelayOrder order_;
+};
+
+TEST_F(RelayOrderTest, FollowsTheFirstOfTheDomain) {
+  EXPECT_EQ(Chosen(kNow), "first");
+}
+
+TEST_F(RelayOrderTest, PassesOverFailedHostsAndReturnsToThem) {
+  order_.Failed("first", kNow);
+  EXPECT_EQ(Chosen(kNow), "second");
+  order_.Failed("second", kNow);
+  EXPECT_EQ(Chosen(kNow), "");
+  EXPECT_EQ(Chosen(kNow + seconds(10)), "first");
+}
+
+// After all hosts have started anew, old registrations may name each other in a
+// circle; the answer with the newer registration breaks it.
+TEST_F(RelayOrderTest, AHostThatRegisteredAnewIsNoLongerFollowed) {
+  order_.Learn("first", 20);
+  EXPECT_EQ(Chosen(kNow), "second");
+  order_.Learn("second", 21);
+  EXPECT_EQ(Chosen(kNow), "");
+  EXPECT_TRUE(order_.MayFollow(20));
+  EXPECT_FALSE(order_.MayFollow(4));
+}
+
+TEST_F(RelayOrderTest, AReadThatIsOlderDoesNotUndoWhatAHostTold) {
+  order_.Learn("first", 20);
+  order_.SetHosts({MakeHost("first", 1), MakeHost("second", 2)});
+  EXPECT_EQ(Chosen(kNow), "second");
+}
+
+}  // namespace
+}  // namespace heathersteer
--- /dev/null
+++ b/src/libheathersteer/server_load_test.cc
@@ -0,0 +1,34 @@
+#include "heathersteer/server_load.h"
+
+#include <gtest/gtest.h>
+
+namespace heathersteer {
+namespace {
+
+using std::chrono::seconds;
+
+TEST(ServerLoadTest, CountsOwnRequestsExactlyAndOthersByReport) {
+  ServerLoad load;
+  load.Sent();
+  load.Sent();
+  load.Report(/*running=*/3, /*waiting=*/4, seconds(1));
+  load.Finished();
+  EXPECT_DOUBLE_EQ(load.Estimate(seconds(1)), 6);
+}
+
+TEST(ServerLoadTest, ReportsFade) {
+  ServerLoad load;
+  load.Report(3, 6, seconds(1));
+  EXPECT_LT(load.Estimate(seconds(3)), 1);
+}
+
+TEST(ServerLoadTest, AReportBelowTheOwnCountLeavesNoOthers) {
+  ServerLoad load;
+  load.Sent();
+  load.Sent();
+  load.Report(1, 0, seconds(1));
+  EXPECT_DOUBLE_EQ(load.Estimate(seconds(1)), 2);
+}
+
+}  // namespace
+}  // namespace heathersteer
