--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -43,6 +43,7 @@
   void SetHosts(int hosts);
 
   heathersteer::ServerTable& servers() { return servers_; }
+  const heathersteer::ServerTable& servers() const { return servers_; }
 
   /// Places waiting requests anew, after servers or drains changed.
   void RetryWaiting();
--- /dev/null
+++ b/testsuite/gateway/directory_test.py
@@ -0,0 +1,68 @@
+import json
+import unittest
+
+from gateway_harness import GatewayTestCase, config, route
+from standins import DEADLINE, REQUEST_ID, answer
+
+
+class DirectoryTest(GatewayTestCase):
+    def fronts(self, host):
+        status, body = host.status(host.directory, "/heatherlever/resolve?name=a.example&region=r-d&zone=d-a")
+        self.assertEqual(status, 200)
+        return set(json.loads(body)["addresses"])
+
+    def await_fronts(self, host, expected):
+        wanted = {f"127.0.0.1:{each.front}" for each in expected}
+        for _ in range(2000):
+            if self.fronts(host) == wanted:
+                return
+            host.status(host.ready, "/heatherlever/ready")
+        self.fail(f"{host.name} names {self.fronts(host)}, not {wanted}")
+
+    def test_one_host_of_a_domain_reads_and_the_next_takes_over(self):
+        self.backend("i-1")
+        first = self.started_host("h1")
+        second = self.started_host("h2")
+        second.await_log("news come from h1")
+        second.await_log("backend server i-1 ")
+        self.await_fronts(first, [first, second])
+        self.await_fronts(second, [first, second])
+        self.store.put("op", "config", config(2, moved=route(prefix="/y/")))
+        second.await_log("configuration 2 in force")
+        first.stop()
+        second.await_log("news come from the store")
+        self.await_fronts(second, [second])
+        self.store.put("op", "config", config(3, moved=route(prefix="/z/")))
+        second.await_log("configuration 3 in force")
+        self.assertEqual(second.request("/z/1")[0], 200)
+
+    def test_a_stopping_host_answers_what_it_has_and_leaves_the_directory(self):
+        def hold(request, connection):
+            backend.run(request)
+            backend.wait_for(lambda: release)
+            return answer(request, b"held")
+
+        release = []
+        backend = self.backend("i-1", hold)
+        first = self.started_host("h1")
+        second = self.started_host("h2")
+        first.await_log("backend server i-1 ")
+        self.await_fronts(first, [first, second])
+        connection = first.connect()
+        connection.request("POST", "/w/1", b"x", {REQUEST_ID: "a", DEADLINE: "8000", "Host": "a.example"})
+        backend.wait_for(lambda: backend.runs)
+        first.process.terminate()
+        first.await_log("stopping")
+        self.assertEqual(first.status(first.ready, "/heatherlever/ready")[0], 503)
+        self.await_fronts(second, [second])
+        with backend.condition:
+            release.append(True)
+            backend.condition.notify_all()
+        response = connection.getresponse()
+        self.assertEqual((response.status, response.read()), (200, b"held"))
+        self.assertEqual(response.headers["Connection"], "close")
+        connection.close()
+        self.assertEqual(first.process.wait(timeout=30), 0)
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testsuite/gateway/gateway_harness.py
@@ -0,0 +1,149 @@
+"""Starts entry hosts of heather-platform-entry over stand-ins on loopback."""
+
+import http.client
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import unittest
+
+from standins import DEADLINE, REQUEST_ID, Backend, Store
+
+PROGRAM = os.path.join(os.environ["HEATHER_BIN_DIR"], "heather-platform-entry")
+START_TIMEOUT_S = 30
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Host:
+    """One process. `await_log(text)` returns once a line holds the text."""
+
+    def __init__(self, name, store, domain="d-a"):
+        self.name = name
+        self.front, self.ready, self.directory, self.internal = free_ports(4)
+        settings = {
+            "nodeName": name, "ip": "127.0.0.1", "zone": domain, "region": "r-" + domain[0],
+            "zones": {"d-a": "r-d", "d-b": "r-d", "e-a": "r-e"},
+            "listen": {
+                "front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}",
+                "directory": f"127.0.0.1:{self.directory}",
+            },
+            "internalPorts": [self.internal, self.internal],
+            "bounds": {"grace": "6s", "ttl_max": "5s", "budgetRatio": 0.2, "budgetWindow": "10s", "budgetExtra": 100},
+            "platform": {"address": f"127.0.0.1:{store.port}"},
+        }
+        self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
+        json.dump(settings, self.file)
+        self.file.flush()
+        self.lines = queue.Queue()
+        self.history = []
+        self.process = subprocess.Popen(
+            [PROGRAM, "--settings", self.file.name], stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+        )
+        threading.Thread(target=self.read_log, daemon=True).start()
+
+    def read_log(self):
+        for line in self.process.stdout:
+            self.lines.put(line)
+
+    def await_log(self, text, timeout_s=START_TIMEOUT_S):
+        for line in self.history:
+            if text in line:
+                return line
+        while True:
+            try:
+                line = self.lines.get(timeout=timeout_s)
+            except queue.Empty:
+                raise AssertionError(f"{self.name} never wrote '{text}'; it wrote:\n{''.join(self.history)}") from None
+            self.history.append(line)
+            if text in line:
+                return line
+
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.front, timeout=START_TIMEOUT_S)
+
+    def request(self, path="/x/1", method="GET", body=None, request_id="id-1", key="7", deadline_ms=10000, connection=None):
+        """(status, headers, body) of one request."""
+        own = connection or self.connect()
+        headers = {REQUEST_ID: request_id, DEADLINE: str(deadline_ms), "Host": "a.example"}
+        if key is not None:
+            headers["Heatherlever-Affinity-Key"] = key
+        own.request(method, path, body=body, headers=headers)
+        response = own.getresponse()
+        result = (response.status, response.headers, response.read())
+        if connection is None:
+            own.close()
+        return result
+
+    def status(self, port, path):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=START_TIMEOUT_S)
+        connection.request("GET", path)
+        response = connection.getresponse()
+        result = (response.status, response.read())
+        connection.close()
+        return result
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+        self.process.stdout.close()
+        self.file.close()
+
+
+def route(kind="idempotent", prefix="/x/", **more):
+    entry = {
+        "host": "a.example", "prefix": prefix, "kind": kind, "timeout": "8000ms", "targetLatency": "4000ms",
+        "priority": 1, "service": "s", "maxAttempts": 2, "sticky": True, "homeRegions": [],
+    }
+    entry.update(more)
+    return entry
+
+
+def config(version=1, **routes):
+    return {
+        "version": version,
+        "routes": routes or {"read": route(), "write": route("non_idempotent", "/w/")},
+        "services": {
+            name: {"healthPath": "/health", "maxConnections": 100, "coldStart": "3s", "coldPerS": 10}
+            for name in ("s", "t")
+        },
+        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
+    }
+
+
+class GatewayTestCase(unittest.TestCase):
+    """A store with one configuration; everything started is ended again."""
+
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.close)
+        self.store.put("op", "config", config())
+
+    def backend(self, name, behave=None, **row):
+        backend = Backend(name)
+        if behave is not None:
+            backend.behave = getattr(backend, behave) if isinstance(behave, str) else behave
+        self.addCleanup(backend.close)
+        self.store.put("servers", name, backend.row(**row))
+        return backend
+
+    def host(self, name="h1", **options):
+        host = Host(name, self.store, **options)
+        self.addCleanup(host.stop)
+        return host
+
+    def started_host(self, name="h1", **options):
+        host = self.host(name, **options)
+        host.await_log("in force")
+        return host
--- /dev/null
+++ b/testsuite/gateway/standins.py
@@ -0,0 +1,223 @@
+"""Small stand-ins of the users' platform: its store and its backend servers."""
+
+import base64
+import json
+import socket
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+REQUEST_ID = "Heatherlever-Request-Id"
+SEAL = "Heatherlever-Response-Seal"
+NOT_EXECUTED = "Heatherlever-Not-Executed"
+TARGET = "Heatherlever-Target-Instance"
+DEADLINE = "Heatherlever-Deadline-Remaining"
+
+
+class Store:
+    """The store's rows, spoken over HTTP as PROTOCOL.md says. `down` makes it
+    answer 503; `reads` counts reads by table."""
+
+    def __init__(self):
+        self.condition = threading.Condition()
+        self.rows = {}
+        self.removed = {}
+        self.version = 0
+        self.down = False
+        self.reads = {}
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def do_GET(self):
+                store.on_get(self)
+
+            def do_POST(self):
+                store.on_post(self)
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def put(self, table, key, value):
+        with self.condition:
+            self.version += 1
+            text = value if isinstance(value, bytes) else json.dumps(value).encode()
+            self.rows[(table, key)] = (base64.b64encode(text).decode(), self.version)
+            self.removed.pop((table, key), None)
+            self.condition.notify_all()
+
+    def delete(self, table, key):
+        with self.condition:
+            self.version += 1
+            self.rows.pop((table, key), None)
+            self.removed[(table, key)] = self.version
+            self.condition.notify_all()
+
+    def answer(self, handler, status, body):
+        text = json.dumps(body).encode()
+        handler.send_response(status)
+        handler.send_header("Content-Type", "application/json")
+        handler.send_header("Content-Length", str(len(text)))
+        handler.end_headers()
+        try:
+            handler.wfile.write(text)
+        except OSError:
+            handler.close_connection = True  # The caller has left meanwhile.
+
+    def on_get(self, handler):
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
+        if self.down:
+            self.answer(handler, 503, {})
+            return
+        with self.condition:
+            self.reads[query["table"]] = self.reads.get(query["table"], 0) + 1
+            self.condition.notify_all()
+            if url.path == "/heatherlever/rows-get":
+                rows = self.listed(query["table"], 0)
+            else:
+                self.await_change(query["table"], int(query["after"]), int(query["waitMs"]) / 1000)
+                rows = self.listed(query["table"], int(query["after"])) + self.gone(query["table"], int(query["after"]))
+            body = {"rows": rows, "hasMore": False, "objectVersion": self.version, "now": "1ms"}
+        self.answer(handler, 200, body)
+
+    def listed(self, table, after):
+        return [
+            {"table": table, "part": "", "key": key, "value": value, "objectVersion": version}
+            for (of, key), (value, version) in sorted(self.rows.items())
+            if of == table and version > after
+        ]
+
+    def gone(self, table, after):
+        return [
+            {"table": table, "part": "", "key": key, "objectVersion": version, "removed": True}
+            for (of, key), version in self.removed.items()
+            if of == table and version > after
+        ]
+
+    def await_change(self, table, after, wait_s):
+        end = time.monotonic() + wait_s
+        while not self.listed(table, after) and not self.gone(table, after):
+            left = end - time.monotonic()
+            if left <= 0:
+                return
+            self.condition.wait(left)
+
+    def on_post(self, handler):
+        body = json.loads(handler.rfile.read(int(handler.headers["Content-Length"])))
+        if self.down:
+            self.answer(handler, 503, {})
+            return
+        for row in body["puts"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        self.answer(handler, 200, {"objectVersion": self.version, "now": "1ms"})
+
+
+class Backend:
+    """A backend server. `behave(request, connection)` returns the bytes of the
+    answer, or None to close the connection without one. `runs` lists the ids
+    that it has run; `seen` all requests as (head line, headers, body)."""
+
+    def __init__(self, name, behave=None):
+        self.name = name
+        self.behave = behave or self.succeed
+        self.condition = threading.Condition()
+        self.runs = []
+        self.seen = []
+        self.closed_by_peer = 0
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def close(self):
+        self.listener.close()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as stream:
+            while True:
+                request = read_message(stream)
+                if request is None:
+                    return
+                with self.condition:
+                    self.seen.append(request)
+                    self.condition.notify_all()
+                answer = self.behave(request, connection)
+                if answer is None:
+                    return
+                try:
+                    connection.sendall(answer)
+                except OSError:
+                    return
+
+    def run(self, request):
+        with self.condition:
+            self.runs.append(request[1].get(REQUEST_ID.lower()))
+            self.condition.notify_all()
+
+    def succeed(self, request, connection):
+        self.run(request)
+        return answer(request, b"from " + self.name.encode())
+
+    def shed(self, request, connection):
+        return b"HTTP/1.1 503 Service Unavailable\r\n" + NOT_EXECUTED.encode() + b": 1\r\nContent-Length: 0\r\n\r\n"
+
+    def run_and_close(self, request, connection):
+        self.run(request)
+        return None
+
+    def wait_for(self, predicate, timeout_s=20):
+        with self.condition:
+            if not self.condition.wait_for(predicate, timeout_s):
+                raise AssertionError(f"{self.name}: nothing came in {timeout_s} s")
+
+    def row(self, domain="d-a", state="ready", slots=3):
+        return {
+            "service": "s", "address": f"127.0.0.1:{self.port}", "zone": domain, "version": "v1",
+            "slots": slots, "state": state, "coldRemaining": "0ms", "sequence": 1, "born": 1,
+        }
+
+
+def answer(request, body, status="200 OK", request_id=None, extra=""):
+    head = f"HTTP/1.1 {status}\r\n{REQUEST_ID}: {request_id or request[1].get(REQUEST_ID.lower())}\r\n"
+    head += f"{SEAL}: sealed\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
+    return head.encode() + body
+
+
+def read_message(stream):
+    """(first line, headers by lower-case name, body), or None at the end."""
+    try:
+        first = stream.readline().decode().strip()
+        if not first:
+            return None
+        headers = {}
+        while True:
+            line = stream.readline().decode()
+            if not line:
+                return None
+            if not line.strip():
+                break
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        body = stream.read(int(headers.get("content-length", 0)))
+        return first, headers, body
+    except OSError:
+        return None
