Bound the log, serve metrics, reload settings, start from a seed in an outage

Cause: log lines were written one by one to a pipe that may block; nothing counted what the gateway does; a changed settings file had no effect; a host that started during an outage of the store knew no configuration although its peers did. Also bounds the bytes of buffered requests by the host's memory.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cc' 'src/*.h')
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h')
 clang-format --dry-run --Werror "${sources[@]}"
 [ "${1:-}" = --format ] && exit 0
 
--- a/src/heather-entry/entry_metrics.h
+++ b/src/heather-entry/entry_metrics.h
@@ -7,9 +7,9 @@
 #include <mutex>
 #include <string>
 
+#include "heathergate/latency_histogram.h"
 #include "heatherlever/instant.h"
 #include "heatherlever/request_outcome.h"
-#include "heathernet/latency_histogram.h"
 
 namespace heather_entry {
 
@@ -32,7 +32,7 @@
     std::array<std::uint64_t, heatherlever::kRequestOutcomeNames.size()>
         outcomes{};
     std::map<std::string, std::uint64_t> refusals;
-    heathernet::LatencyHistogram latency;
+    heathergate::LatencyHistogram latency;
   };
 
   mutable std::mutex mutex_;
--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "heathergate/fleet_source.h"
@@ -43,8 +44,14 @@
              FleetListener listener);
   ~FleetAgent();
 
+  /// Hosts to ask when this one starts while the store is away.
+  void set_seeds(std::vector<HttpPeer> seeds) { seeds_ = std::move(seeds); }
+
   void Start();
 
+  /// Answers a question that came by another address than the own relay's.
+  void OnQuestion(const std::shared_ptr<HttpExchange>& exchange);
+
   /// Tells the others that this host takes no more requests.
   void StartLeaving();
 
@@ -73,7 +80,8 @@
   void ReadOperator();
   void OnServersChanged();
   void OnOperator(const heathersteer::OperatorState& state);
-  void OnQuestion(const std::shared_ptr<HttpExchange>& exchange);
+  void AskSeed();
+  void OnSeedAnswer(const CallResult& result);
   bool HasNews(const RelayQuestion& question) const;
   void AnswerHeld();
   void AnswerAllHeld();
@@ -97,6 +105,8 @@
   Timer operator_timer_;
   Timer tick_timer_;
   std::list<HeldQuestion> held_;
+  std::vector<HttpPeer> seeds_;
+  std::size_t next_seed_ = 0;
   std::shared_ptr<HttpCall> ask_;
   // Distinguishes this life's sequence numbers from those of earlier ones.
   std::string instance_;
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -10,6 +10,7 @@
 #include "heathergate/gateway_counters.h"
 #include "heathergate/gateway_options.h"
 #include "heathergate/http_client.h"
+#include "heathergate/latency_histogram.h"
 #include "heathergate/timer.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
@@ -39,6 +40,9 @@
   /// Takes a configuration into force if its version is above the present one.
   void ApplyConfig(std::shared_ptr<const heathersteer::TrafficConfig> config);
 
+  /// New bounds of repeats, in force for all services at once.
+  void SetRetryOptions(const heathersteer::RetryBudgetOptions& retries);
+
   /// Number of entry hosts, which share budgets and rates.
   void SetHosts(int hosts);
 
@@ -56,6 +60,11 @@
 
   const GatewayCounters& counters() const { return counters_; }
 
+  /// Times from a request to its delivered answer, by rank.
+  const std::map<int, LatencyHistogram>& latencies() const {
+    return latencies_;
+  }
+
  private:
   friend class ForwardedRequest;
 
@@ -83,6 +92,7 @@
   std::map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
   std::map<std::uint64_t, ForwardedRequest*> waiting_;
   GatewayCounters counters_;
+  std::map<int, LatencyHistogram> latencies_;
   std::mt19937_64 random_;
   Timer tick_;
   bool ticking_ = false;
--- a/src/include/heathergate/http_server.h
+++ b/src/include/heathergate/http_server.h
@@ -29,6 +29,10 @@
   /// In force for the next message of each connection.
   void SetLimits(const heathersteer::ClientLimits& limits);
 
+  /// Bound on the bytes of all requests that are being read or answered; a
+  /// request beyond it is refused as not run.
+  void SetMostBuffered(std::size_t bytes);
+
   /// From now on each response ends its connection.
   void StartLeaving();
 
--- a/src/include/heathernet/latency_histogram.h
+++ b/src/include/heathergate/latency_histogram.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERNET_LATENCY_HISTOGRAM_H_
-#define HEATHERNET_LATENCY_HISTOGRAM_H_
+#ifndef HEATHERGATE_LATENCY_HISTOGRAM_H_
+#define HEATHERGATE_LATENCY_HISTOGRAM_H_
 
 #include <cstdint>
 #include <memory>
@@ -7,7 +7,7 @@
 
 #include "heatherlever/instant.h"
 
-namespace heathernet {
+namespace heathergate {
 
 /// A histogram of durations from 0.1 ms to 100 s, with five buckets a decade.
 class LatencyHistogram {
@@ -38,6 +38,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace heathernet
+}  // namespace heathergate
 
-#endif  // HEATHERNET_LATENCY_HISTOGRAM_H_
+#endif  // HEATHERGATE_LATENCY_HISTOGRAM_H_
--- a/src/include/heathersteer/retry_budget.h
+++ b/src/include/heathersteer/retry_budget.h
@@ -22,6 +22,8 @@
  public:
   explicit RetryBudget(RetryBudgetOptions options) : options_(options) {}
 
+  void set_options(const RetryBudgetOptions& options) { options_ = options; }
+
   void CountRequest(heatherlever::Instant now);
 
   /// Counts a repeat if the budget allows it; `hosts` share the extra.
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -51,6 +51,8 @@
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr const char* kRelayPath = "/relay";
+// Stands for the registration of a host that has none yet: it may follow all.
+constexpr std::uint64_t kNotRegistered = UINT64_MAX;
 
 HttpClientOptions ClientOptions() {
   HttpClientOptions options;
@@ -66,6 +68,11 @@
   return response;
 }
 
+std::string QuestionHead(const std::string& host, std::size_t body_size) {
+  return std::string("POST ") + kRelayPath + " HTTP/1.1\r\nHost: " + host +
+         "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
+}
+
 std::string RandomName() {
   std::random_device device;
   return std::to_string(device()) + "-" + std::to_string(device());
@@ -118,6 +125,7 @@
       spdlog::warn("registration failed: {}", joined.status().ToString());
       // The configuration may be readable all the same.
       EnsureReading();
+      AskSeed();
       register_timer_.Start(kRetryPause, [this] { Register(); });
       return;
     }
@@ -128,6 +136,47 @@
   });
 }
 
+void FleetAgent::AskSeed() {
+  if (seeds_.empty() || ask_ != nullptr || operator_sequence_ != 0) {
+    return;
+  }
+  const HttpPeer& seed = seeds_[next_seed_++ % seeds_.size()];
+  spdlog::info("the store is away: asking seed {}:{}", seed.address, seed.port);
+  RelayQuestion question;
+  question.name = order_.self().name;
+  question.front = order_.self().front;
+  question.joined = kNotRegistered;
+  const std::string body = EncodeQuestion(question);
+  ask_timer_.Start(kHold + kAnswerSlack, [this] {
+    if (const auto call = std::exchange(ask_, nullptr)) {
+      call->Cancel();
+    }
+  });
+  ask_ = client_.Send(seed, QuestionHead(seed.name, body.size()), body, "",
+                      [this](CallResult result) {
+                        ask_timer_.Cancel();
+                        ask_ = nullptr;
+                        OnSeedAnswer(result);
+                      });
+}
+
+void FleetAgent::OnSeedAnswer(const CallResult& result) {
+  const auto answer =
+      result.outcome == CallOutcome::kAnswered && result.head.status == kOk
+          ? DecodeAnswer(result.body, EventLoop::Now())
+          : std::nullopt;
+  if (!answer || !answer->operator_state || !answer->servers) {
+    spdlog::warn("the seed knows nothing: {}",
+                 result.error.empty() ? std::to_string(result.head.status)
+                                      : result.error);
+    return;
+  }
+  OnOperator(*answer->operator_state);
+  if (servers_.Mirror(*answer->servers, EventLoop::Now() - answer->age)) {
+    OnServersChanged();
+  }
+}
+
 void FleetAgent::ReadHosts() {
   const bool first = !hosts_known_;
   source_.ReadHosts(
@@ -188,17 +237,15 @@
       .operator_sequence = same ? followed_operator_ : 0,
       .live_sequence = same ? followed_live_ : 0};
   const std::string body = EncodeQuestion(question);
-  const std::string head =
-      std::string("POST ") + kRelayPath + " HTTP/1.1\r\nHost: " + host.name +
-      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   ask_timer_.Start(kHold + kAnswerSlack, [this, host] {
     if (const auto call = std::exchange(ask_, nullptr)) {
       call->Cancel();
     }
     OnFollowFailed(host, "no answer in time");
   });
-  ask_ = client_.Send({host.name, host.relay_address, host.relay_port}, head,
-                      body, "", [this, host](CallResult result) {
+  ask_ = client_.Send({host.name, host.relay_address, host.relay_port},
+                      QuestionHead(host.name, body.size()), body, "",
+                      [this, host](CallResult result) {
                         ask_timer_.Cancel();
                         ask_ = nullptr;
                         OnAnswer(host, std::move(result));
@@ -304,8 +351,7 @@
       reading_servers_ = false;
       return;
     }
-    servers_timer_.Start(ServersPause(servers.ok()),
-                         [this] { ReadServers(); });
+    servers_timer_.Start(ServersPause(servers.ok()), [this] { ReadServers(); });
   });
 }
 
@@ -371,7 +417,8 @@
     exchange->Respond(Plain(kBadRequest));
     return;
   }
-  if (leaving_ || !registered_) {
+  const bool informed = registered_ || operator_sequence_ != 0;
+  if (leaving_ || !informed) {
     exchange->Respond(Plain(kUnavailable));
     return;
   }
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -296,6 +296,8 @@
     }
   }
   ++gateway_.counters_.delivered;
+  gateway_.latencies_[route_.rank].Record(EventLoop::Now() -
+                                          exchange_->received());
   Finish(std::move(response), "answered");
 }
 
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -93,6 +93,13 @@
   placement_.set_hosts(hosts);
 }
 
+void Gateway::SetRetryOptions(const heathersteer::RetryBudgetOptions& retries) {
+  options_.retries = retries;
+  for (auto& [service, budget] : budgets_) {
+    budget.set_options(retries);
+  }
+}
+
 heathersteer::RetryBudget& Gateway::Budget(const std::string& service) {
   return budgets_.try_emplace(service, options_.retries).first->second;
 }
--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <cstddef>
 #include <set>
 #include <utility>
 #include <vector>
@@ -16,6 +17,8 @@
 
 using asio::ip::tcp;
 
+// Bound on buffered requests where the memory of the host is not known.
+constexpr std::size_t kDefaultMostBuffered = 32 << 20;
 // Pause after a failed accept, which mostly means a lack of descriptors.
 constexpr heatherlever::Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -77,9 +80,14 @@
     limits_ = limits;
   }
   void set_leaving() { leaving_ = true; }
+  void set_most_buffered(std::size_t bytes) { most_buffered_ = bytes; }
 
   const heathersteer::ClientLimits& limits() const override { return limits_; }
   bool leaving() const override { return leaving_; }
+  bool Buffer(std::ptrdiff_t bytes) override {
+    buffered_ += bytes;
+    return buffered_ <= static_cast<std::ptrdiff_t>(most_buffered_);
+  }
   void Handle(std::shared_ptr<HttpExchange> exchange) override {
     handler_(std::move(exchange));
   }
@@ -109,6 +117,8 @@
   Handler handler_;
   heathersteer::ClientLimits limits_;
   std::set<std::shared_ptr<HttpSession>> sessions_;
+  std::size_t most_buffered_ = kDefaultMostBuffered;
+  std::ptrdiff_t buffered_ = 0;
   bool leaving_ = false;
 };
 
@@ -128,6 +138,10 @@
   impl_->set_limits(limits);
 }
 
+void HttpServer::SetMostBuffered(std::size_t bytes) {
+  impl_->set_most_buffered(bytes);
+}
+
 void HttpServer::StartLeaving() {
   impl_->set_leaving();
 }
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -140,6 +140,11 @@
     case ReadStatus::kNeedMore:
       break;
   }
+  if (!CountBuffered(reader_.body().size())) {
+    constexpr int kUnavailable = 503;
+    Reject(kUnavailable);
+    return;
+  }
   if (first) {
     StartTimer();
   }
@@ -154,7 +159,15 @@
   }
 }
 
+bool HttpSession::CountBuffered(std::size_t bytes) {
+  const auto more = static_cast<std::ptrdiff_t>(bytes) -
+                    static_cast<std::ptrdiff_t>(buffered_);
+  buffered_ = bytes;
+  return owner_.Buffer(more);
+}
+
 void HttpSession::Dispatch() {
+  CountBuffered(reader_.body().size());
   timer_.Cancel();
   head_request_ = reader_.head().method == "HEAD";
   close_after_write_ = !reader_.head().keep_alive;
@@ -213,6 +226,7 @@
 void HttpSession::OnWritten(std::error_code error) {
   writing_ = false;
   output_.clear();
+  CountBuffered(0);
   if (closed_) {
     return;
   }
@@ -253,6 +267,7 @@
   }
   closed_ = true;
   timer_.Cancel();
+  CountBuffered(0);
   std::error_code ignored;  // NOLINT: the connection is given up either way.
   socket_.close(ignored);
   if (const auto exchange = std::exchange(exchange_, nullptr)) {
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -2,6 +2,7 @@
 #define LIBHEATHERGATE_HTTP_SESSION_H_
 
 #include <asio/ip/tcp.hpp>
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -44,6 +45,7 @@
   void Write(const HttpResponse& response);
   void OnWritten(std::error_code error);
   void Linger();
+  bool CountBuffered(std::size_t bytes);
   void StartTimer();
   void OnTimer();
 
@@ -56,6 +58,8 @@
   // Bytes of later requests, read while one is being answered.
   std::string pending_;
   std::string output_;
+  // Bytes of the present request that the owner counts.
+  std::size_t buffered_ = 0;
   bool head_request_ = false;
   bool writing_ = false;
   bool close_after_write_ = false;
@@ -70,6 +74,9 @@
   virtual ~SessionOwner() = default;
   virtual const heathersteer::ClientLimits& limits() const = 0;
   virtual bool leaving() const = 0;
+  /// Counts bytes of requests that are kept, or released if negative. Returns
+  /// whether all sessions together are within their bound.
+  virtual bool Buffer(std::ptrdiff_t bytes) = 0;
   virtual void Handle(std::shared_ptr<HttpExchange> exchange) = 0;
   virtual void Remove(const std::shared_ptr<HttpSession>& session) = 0;
 };
--- a/src/libheathernet/latency_histogram.cc
+++ b/src/libheathergate/latency_histogram.cc
@@ -1,8 +1,8 @@
-#include "heathernet/latency_histogram.h"
+#include "heathergate/latency_histogram.h"
 
 #include <boost/histogram.hpp>
 
-namespace heathernet {
+namespace heathergate {
 namespace {
 
 constexpr double kLeastS = 1e-4;
@@ -61,4 +61,4 @@
   return impl_->sum_s;
 }
 
-}  // namespace heathernet
+}  // namespace heathergate
--- a/src/libheathernet/latency_histogram_test.cc
+++ b/src/libheathergate/latency_histogram_test.cc
@@ -1,8 +1,8 @@
-#include "heathernet/latency_histogram.h"
+#include "heathergate/latency_histogram.h"
 
 #include <gtest/gtest.h>
 
-namespace heathernet {
+namespace heathergate {
 namespace {
 
 TEST(LatencyHistogramTest, CountsEachDurationUpToItsLimits) {
@@ -24,4 +24,4 @@
 }
 
 }  // namespace
-}  // namespace heathernet
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/log_buffer.cc
@@ -0,0 +1,117 @@
+#include "heathergate/log_buffer.h"
+
+#include <fcntl.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "heathergate/event_loop.h"
+#include "heathergate/timer.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+
+// Bytes that wait for the reader; about a thousand lines.
+constexpr std::size_t kMostBytes = 256 * 1024;
+// Pause between writes.
+constexpr Duration kFlushPause = std::chrono::milliseconds(200);
+constexpr const char* kPattern = "%Y-%m-%dT%H:%M:%S.%e %L %v";
+
+void SetBlocking(bool blocking) {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    fcntl(STDOUT_FILENO, F_SETFL,
+          blocking ? flags & ~O_NONBLOCK : flags | O_NONBLOCK);
+  }
+}
+
+}  // namespace
+
+class LogBuffer::Sink
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  explicit Sink(EventLoop& loop) : timer_(loop) {}
+
+  void Flush() {
+    if (dropped_ > reported_ && buffer_.size() < kMostBytes / 2) {
+      buffer_ +=
+          "log lines dropped: " + std::to_string(dropped_ - reported_) + "\n";
+      reported_ = dropped_;
+    }
+    const ssize_t written =
+        write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+    if (written > 0) {
+      buffer_.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+  void Stop() {
+    stopped_ = true;
+    timer_.Cancel();
+    Flush();
+  }
+
+  std::uint64_t dropped() const { return dropped_; }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    if (buffer_.size() + line.size() > kMostBytes) {
+      ++dropped_;
+      return;
+    }
+    buffer_.append(line.data(), line.size());
+    StartTimer();
+  }
+
+  void flush_() override { Flush(); }
+
+ private:
+  void StartTimer() {
+    if (waiting_ || stopped_) {
+      return;
+    }
+    waiting_ = true;
+    timer_.Start(kFlushPause, [this] {
+      waiting_ = false;
+      Flush();
+      if (!buffer_.empty()) {
+        StartTimer();
+      }
+    });
+  }
+
+  Timer timer_;
+  std::string buffer_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t reported_ = 0;
+  bool waiting_ = false;
+  bool stopped_ = false;
+};
+
+LogBuffer::LogBuffer(EventLoop& loop) : sink_(std::make_shared<Sink>(loop)) {
+  SetBlocking(false);
+  auto logger = std::make_shared<spdlog::logger>("", sink_);
+  logger->set_pattern(kPattern);
+  spdlog::set_default_logger(logger);
+}
+
+LogBuffer::~LogBuffer() {
+  sink_->Stop();
+  SetBlocking(true);
+  spdlog::set_default_logger(std::make_shared<spdlog::logger>(
+      "", std::make_shared<spdlog::sinks::stdout_sink_st>()));
+}
+
+std::uint64_t LogBuffer::dropped() const {
+  return sink_->dropped();
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/metrics_text.cc
@@ -0,0 +1,68 @@
+#include "heathergate/metrics_text.h"
+
+#include <array>
+#include <sstream>
+
+#include "heathergate/gateway.h"
+#include "heathersteer/traffic_config.h"
+
+namespace heathergate {
+namespace {
+
+struct Counter {
+  const char* name;
+  std::uint64_t GatewayCounters::*value;
+};
+
+constexpr std::array<Counter, 10> kCounters = {{
+    {"heather_requests_total", &GatewayCounters::requests},
+    {"heather_delivered_total", &GatewayCounters::delivered},
+    {"heather_rejected_total", &GatewayCounters::rejected},
+    {"heather_failed_total", &GatewayCounters::failed},
+    {"heather_unrouted_total", &GatewayCounters::unrouted},
+    {"heather_abandoned_total", &GatewayCounters::abandoned},
+    {"heather_sends_total", &GatewayCounters::sends},
+    {"heather_repeats_total", &GatewayCounters::repeats},
+    {"heather_server_refusals_total", &GatewayCounters::refused_by_server},
+    {"heather_broken_sends_total", &GatewayCounters::broken},
+}};
+
+void WriteHistogram(std::ostringstream& text,
+                    int rank,
+                    const LatencyHistogram& latency) {
+  const std::string label = "rank=\"" + std::to_string(rank) + "\"";
+  for (const auto& bucket : latency.Cumulative()) {
+    text << "heather_request_seconds_bucket{" << label << ",le=\""
+         << bucket.limit_s << "\"} " << bucket.count << "\n";
+  }
+  text << "heather_request_seconds_bucket{" << label << ",le=\"+Inf\"} "
+       << latency.count() << "\n";
+  text << "heather_request_seconds_sum{" << label << "} " << latency.sum_s()
+       << "\n";
+  text << "heather_request_seconds_count{" << label << "} " << latency.count()
+       << "\n";
+}
+
+}  // namespace
+
+std::string MetricsText(const Gateway& gateway) {
+  std::ostringstream text;
+  for (const Counter& counter : kCounters) {
+    text << "# TYPE " << counter.name << " counter\n";
+    text << counter.name << " " << gateway.counters().*counter.value << "\n";
+  }
+  text << "# TYPE heather_requests_active gauge\n";
+  text << "heather_requests_active " << gateway.active() << "\n";
+  text << "# TYPE heather_backend_servers gauge\n";
+  text << "heather_backend_servers " << gateway.servers().size() << "\n";
+  text << "# TYPE heather_configuration_version gauge\n";
+  text << "heather_configuration_version "
+       << (gateway.config() == nullptr ? 0 : gateway.config()->version) << "\n";
+  text << "# TYPE heather_request_seconds histogram\n";
+  for (const auto& [rank, latency] : gateway.latencies()) {
+    WriteHistogram(text, rank, latency);
+  }
+  return text.str();
+}
+
+}  // namespace heathergate
--- a/testsuite/gateway/configuration_test.py
+++ b/testsuite/gateway/configuration_test.py
@@ -1,3 +1,4 @@
+import signal
 import unittest
 
 from gateway_harness import GatewayTestCase, config, route
@@ -48,6 +49,41 @@
         self.store.down = False
         self.store.put("op", "config", config(2, moved=route(prefix="/y/")))
         host.await_log("configuration 2 in force")
+    def test_a_host_that_starts_during_an_outage_learns_from_a_seed(self):
+        self.backend("i-1")
+        first = self.started_host("h1")
+        first.await_log("backend server i-1 ")
+        self.store.down = True
+        second = self.started_host("h2", address="127.0.0.2", domain="e-a", seeds=[first])
+        second.await_log("backend server i-1 ")
+        self.assertEqual(second.request("/x/1")[2], b"from i-1")
+
+    def test_changed_settings_are_taken_and_broken_ones_are_not(self):
+        self.backend("i-1", "shed")
+        self.backend("i-2", "shed")
+        host = self.started_host(bounds={"budgetExtra": 0, "budgetRatio": 0})
+        host.await_log("backend server i-2 ")
+        self.assertEqual(host.request("/x/1")[0], 503)
+        self.assertEqual(self.metric(host, "heather_repeats_total"), 0)
+        host.settings["zone"] = 5
+        host.write_settings()
+        host.process.send_signal(signal.SIGHUP)
+        host.await_log("settings stay as they were")
+        host.settings["zone"] = "d-a"
+        host.settings["bounds"]["budgetExtra"] = 100
+        host.write_settings()
+        host.process.send_signal(signal.SIGHUP)
+        host.await_log("read again")
+        self.assertEqual(host.request("/x/1")[0], 503)
+        self.assertEqual(self.metric(host, "heather_repeats_total"), 1)
+
+    def metric(self, host, name):
+        status, text = host.status(host.metrics, "/metrics")
+        self.assertEqual(status, 200)
+        values = [line.split()[1] for line in text.decode().splitlines() if line.startswith(name + " ")]
+        self.assertEqual(len(values), 1, name)
+        return float(values[0])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -28,30 +28,36 @@
 class Host:
     """One process. `await_log(text)` returns once a line holds the text."""
 
-    def __init__(self, name, store, domain="d-a"):
+    def __init__(self, name, store, domain="d-a", address="127.0.0.1", seeds=(), bounds=None):
         self.name = name
-        self.front, self.ready, self.directory, self.internal = free_ports(4)
-        settings = {
-            "nodeName": name, "ip": "127.0.0.1", "zone": domain, "region": "r-" + domain[0],
+        self.front, self.ready, self.directory, self.control, self.internal, self.metrics = free_ports(6)
+        self.settings = {
+            "nodeName": name, "ip": address, "zone": domain, "region": "r-" + domain[0],
             "zones": {"d-a": "r-d", "d-b": "r-d", "e-a": "r-e"},
             "listen": {
                 "front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}",
-                "directory": f"127.0.0.1:{self.directory}",
+                "directory": f"127.0.0.1:{self.directory}", "control": f"{address}:{self.control}",
             },
+            "seeds": [f"{seed.settings['ip']}:{seed.control}" for seed in seeds],
             "internalPorts": [self.internal, self.internal],
-            "bounds": {"grace": "6s", "ttl_max": "5s", "budgetRatio": 0.2, "budgetWindow": "10s", "budgetExtra": 100},
+            "bounds": {"grace": "6s", "ttl_max": "5s", "budgetRatio": 0.2, "budgetWindow": "10s", "budgetExtra": 100, **(bounds or {})},
             "platform": {"address": f"127.0.0.1:{store.port}"},
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
-        json.dump(settings, self.file)
-        self.file.flush()
+        self.write_settings()
         self.lines = queue.Queue()
         self.history = []
         self.process = subprocess.Popen(
-            [PROGRAM, "--settings", self.file.name], stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+            [PROGRAM, "--settings", self.file.name, "--metrics-port", str(self.metrics)], stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
         )
         threading.Thread(target=self.read_log, daemon=True).start()
 
+    def write_settings(self):
+        self.file.seek(0)
+        self.file.truncate()
+        json.dump(self.settings, self.file)
+        self.file.flush()
+
     def read_log(self):
         for line in self.process.stdout:
             self.lines.put(line)
@@ -85,8 +91,8 @@
             own.close()
         return result
 
-    def status(self, port, path):
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=START_TIMEOUT_S)
+    def status(self, port, path, address="127.0.0.1"):
+        connection = http.client.HTTPConnection(address, port, timeout=START_TIMEOUT_S)
         connection.request("GET", path)
         response = connection.getresponse()
         result = (response.status, response.read())
