--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -40,7 +40,7 @@
  public:
   FleetAgent(EventLoop& loop,
              FleetSource& source,
-             heathersteer::HostRecord self,
+             const heathersteer::HostRecord& self,
              FleetListener listener);
   ~FleetAgent();
 
@@ -69,7 +69,7 @@
   void ReadHosts();
   void Follow();
   void Ask(const heathersteer::HostRecord& host);
-  void OnAnswer(const heathersteer::HostRecord& host, CallResult result);
+  void OnAnswer(const heathersteer::HostRecord& host, const CallResult& result);
   void OnFollowFailed(const heathersteer::HostRecord& host,
                       const std::string& problem);
   void TakeAnswer(const RelayAnswer& answer);
@@ -88,7 +88,6 @@
   void SendAnswer(HeldQuestion& held);
   void Tick();
 
-  EventLoop& loop_;
   FleetSource& source_;
   FleetListener listener_;
   heathersteer::RelayOrder order_;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -89,10 +89,9 @@
 
 FleetAgent::FleetAgent(EventLoop& loop,
                        FleetSource& source,
-                       HostRecord self,
+                       const HostRecord& self,
                        FleetListener listener)
-    : loop_(loop),
-      source_(source),
+    : source_(source),
       listener_(std::move(listener)),
       order_(self),
       client_(loop, ClientOptions()),
@@ -153,7 +152,7 @@
     }
   });
   ask_ = client_.Send(seed, QuestionHead(seed.name, body.size()), body, "",
-                      [this](CallResult result) {
+                      [this](const CallResult& result) {
                         ask_timer_.Cancel();
                         ask_ = nullptr;
                         OnSeedAnswer(result);
@@ -245,14 +244,14 @@
   });
   ask_ = client_.Send({host.name, host.relay_address, host.relay_port},
                       QuestionHead(host.name, body.size()), body, "",
-                      [this, host](CallResult result) {
+                      [this, host](const CallResult& result) {
                         ask_timer_.Cancel();
                         ask_ = nullptr;
-                        OnAnswer(host, std::move(result));
+                        OnAnswer(host, result);
                       });
 }
 
-void FleetAgent::OnAnswer(const HostRecord& host, CallResult result) {
+void FleetAgent::OnAnswer(const HostRecord& host, const CallResult& result) {
   if (result.outcome != CallOutcome::kAnswered) {
     OnFollowFailed(host, result.error);
     return;
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -146,13 +146,14 @@
   const heathersteer::BackendServer& target = server_->server;
   // A timer or the client may end the request while the call is on its way, so
   // the call holds no reference to it.
-  call_ = gateway_.client_.Send({target.id, target.address, target.port},
-                                MakeHead(target.id), exchange_->body(), id_,
-                                [self = weak_from_this()](CallResult result) {
-                                  if (const auto request = self.lock()) {
-                                    request->OnCallDone(std::move(result));
-                                  }
-                                });
+  call_ = gateway_.client_.Send(
+      {target.id, target.address, target.port}, MakeHead(target.id),
+      exchange_->body(), id_,
+      [self = weak_from_this()](const CallResult& result) {
+        if (const auto request = self.lock()) {
+          request->OnCallDone(result);
+        }
+      });
 }
 
 std::string ForwardedRequest::MakeHead(const std::string& server_id) const {
@@ -181,7 +182,7 @@
   return text + "\r\n";
 }
 
-void ForwardedRequest::OnCallDone(CallResult result) {
+void ForwardedRequest::OnCallDone(const CallResult& result) {
   call_ = nullptr;
   const AttemptOutcome outcome = Judge(result);
   TakeEvidence(result, outcome);
--- a/src/libheathergate/http_client.cc
+++ b/src/libheathergate/http_client.cc
@@ -41,7 +41,7 @@
       return nullptr;
     }
     // The one used last is the least likely to have been closed by the peer.
-    const auto connection = found->second.back();
+    auto connection = found->second.back();
     found->second.pop_back();
     if (found->second.empty()) {
       idle_.erase(found);
--- a/src/libheathergate/http_reader_test.cc
+++ b/src/libheathergate/http_reader_test.cc
@@ -50,7 +50,7 @@
 }
 
 TEST(HttpReaderTest, RefusesWhatCouldSmuggleARequest) {
-  const char* const kMessages[] = {
+  const char* const messages[] = {
       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
@@ -60,7 +60,7 @@
       "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
       "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
   };
-  for (const char* message : kMessages) {
+  for (const char* message : messages) {
     HttpReader reader(HttpReader::Kind::kRequest, {});
     EXPECT_EQ(FeedAll(reader, message), ReadStatus::kMalformed) << message;
   }
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -38,7 +38,6 @@
                          EventLoop& loop,
                          asio::ip::tcp::socket socket)
     : owner_(owner),
-      loop_(loop),
       socket_(std::move(socket)),
       timer_(loop),
       reader_(HttpReader::Kind::kRequest, {}) {}
@@ -173,9 +172,9 @@
   close_after_write_ = !reader_.head().keep_alive;
   exchange_ = std::make_shared<HttpExchange>(
       std::move(reader_.head()), std::move(reader_.body()), EventLoop::Now(),
-      [self = weak_from_this()](HttpResponse response) {
+      [self = weak_from_this()](const HttpResponse& response) {
         if (const auto session = self.lock()) {
-          session->Reply(std::move(response));
+          session->Reply(response);
         }
       });
   reader_.Reset();
@@ -190,7 +189,7 @@
   Write(response);
 }
 
-void HttpSession::Reply(HttpResponse response) {
+void HttpSession::Reply(const HttpResponse& response) {
   exchange_ = nullptr;
   if (!closed_) {
     Write(response);
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -41,7 +41,7 @@
   void OnReadEnd(std::error_code error);
   void Dispatch();
   void Reject(int status);
-  void Reply(HttpResponse response);
+  void Reply(const HttpResponse& response);
   void Write(const HttpResponse& response);
   void OnWritten(std::error_code error);
   void Linger();
@@ -50,7 +50,6 @@
   void OnTimer();
 
   SessionOwner& owner_;
-  EventLoop& loop_;
   asio::ip::tcp::socket socket_;
   Timer timer_;
   HttpReader reader_;
--- a/src/libheathergate/log_buffer.cc
+++ b/src/libheathergate/log_buffer.cc
@@ -18,7 +18,7 @@
 using heatherlever::Duration;
 
 // Bytes that wait for the reader; about a thousand lines.
-constexpr std::size_t kMostBytes = 256 * 1024;
+constexpr std::size_t kMostBytes = std::size_t{256} * 1024;
 // Pause between writes.
 constexpr Duration kFlushPause = std::chrono::milliseconds(200);
 constexpr const char* kPattern = "%Y-%m-%dT%H:%M:%S.%e %L %v";
@@ -38,7 +38,7 @@
  public:
   explicit Sink(EventLoop& loop) : timer_(loop) {}
 
-  void Flush() {
+  void WriteOut() {
     if (dropped_ > reported_ && buffer_.size() < kMostBytes / 2) {
       buffer_ +=
           "log lines dropped: " + std::to_string(dropped_ - reported_) + "\n";
@@ -54,7 +54,7 @@
   void Stop() {
     stopped_ = true;
     timer_.Cancel();
-    Flush();
+    WriteOut();
   }
 
   std::uint64_t dropped() const { return dropped_; }
@@ -71,7 +71,7 @@
     StartTimer();
   }
 
-  void flush_() override { Flush(); }
+  void flush_() override { WriteOut(); }
 
  private:
   void StartTimer() {
@@ -81,7 +81,7 @@
     waiting_ = true;
     timer_.Start(kFlushPause, [this] {
       waiting_ = false;
-      Flush();
+      WriteOut();
       if (!buffer_.empty()) {
         StartTimer();
       }
--- a/src/libheathersteer/traffic_split.cc
+++ b/src/libheathersteer/traffic_split.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <cstdint>
 
 #include "heathersteer/hash.h"
 #include "heathersteer/route.h"
@@ -22,7 +23,7 @@
 // the shares of few keys come close to the weights.
 double Position(const std::string& route, std::string_view key) {
   const double offset = UnitHash("split", route);
-  unsigned long long number = 0;
+  std::uint64_t number = 0;
   const auto [end, error] =
       std::from_chars(key.data(), key.data() + key.size(), number);
   const bool numeric = error == std::errc() && end == key.data() + key.size();
