Let the operators' selectors, caps and drains steer on the users' platform

Cause: on the platform only its own configuration steered; the operators' labels, selectors, shift caps and drains, which make the product, had no say.

--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -6,6 +6,7 @@
 find_package(nlohmann_json REQUIRED)
 find_package(PkgConfig REQUIRED)
 find_package(spdlog REQUIRED)
+find_package(yaml-cpp REQUIRED)
 
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 
@@ -20,7 +21,6 @@
 if(NOT HEATHER_PLATFORM_ONLY)
   find_package(GTest REQUIRED)
   find_package(rapidcheck REQUIRED)
-  find_package(yaml-cpp REQUIRED)
   pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
   pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
   pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "heathergate/gateway_counters.h"
 #include "heathergate/gateway_options.h"
@@ -21,6 +22,7 @@
 
 namespace heathersteer {
 struct TrafficConfig;
+class SteeringRules;
 }  // namespace heathersteer
 
 namespace heathergate {
@@ -40,6 +42,11 @@
   /// Takes a configuration into force if its version is above the present one.
   void ApplyConfig(std::shared_ptr<const heathersteer::TrafficConfig> config);
 
+  /// Takes the operators' rules into force.
+  void SetRules(std::shared_ptr<heathersteer::SteeringRules> rules) {
+    rules_ = std::move(rules);
+  }
+
   /// New bounds of repeats, in force for all services at once.
   void SetRetryOptions(const heathersteer::RetryBudgetOptions& retries);
 
@@ -88,6 +95,7 @@
   heathersteer::WaitQueue queue_;
   std::shared_ptr<const heathersteer::TrafficConfig> config_;
   std::shared_ptr<const heathersteer::RouteTable> routes_;
+  std::shared_ptr<heathersteer::SteeringRules> rules_;
   std::map<std::string, heathersteer::RetryBudget> budgets_;
   std::map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
   std::map<std::uint64_t, ForwardedRequest*> waiting_;
--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -1,7 +1,9 @@
 #ifndef HEATHERSTEER_PLACEMENT_H_
 #define HEATHERSTEER_PLACEMENT_H_
 
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +16,7 @@
 
 struct Route;
 struct Service;
+class SteeringRules;
 
 /// What a request needs to be placed.
 struct PlacementRequest {
@@ -23,6 +26,9 @@
   std::string_view affinity_key;
   /// Servers that have had the request already.
   const std::vector<std::string>* tried = nullptr;
+  /// The operators' rules, and the one that applies; nullptr if there are none.
+  const SteeringRules* rules = nullptr;
+  std::optional<std::size_t> rule;
 };
 
 /// Where a request goes, or why it goes nowhere now.
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -11,6 +11,7 @@
 #include "heathergate/gateway.h"
 #include "heathergate/http_exchange.h"
 #include "heathersteer/rejection.h"
+#include "heathersteer/steering_rules.h"
 #include "libheathergate/load_report.h"
 
 namespace heathergate {
@@ -119,12 +120,17 @@
 
 bool ForwardedRequest::TryPlace() {
   const Instant now = EventLoop::Now();
+  heathersteer::SteeringRules* rules = gateway_.rules_.get();
+  const auto rule =
+      rules == nullptr ? std::nullopt : rules->RuleFor(route_, service_.name);
   const heathersteer::PlacementRequest wanted{
       .route = &route_,
       .service = &service_,
       .affinity_key = affinity_key_.empty() ? std::string_view(id_)
                                             : std::string_view(affinity_key_),
-      .tried = &tried_};
+      .tried = &tried_,
+      .rules = rules,
+      .rule = rule};
   const auto choice =
       gateway_.placement_.Choose(gateway_.servers_, wanted, now);
   if (choice.server == nullptr) {
@@ -134,6 +140,11 @@
     gateway_.StopWaiting(std::exchange(ticket_, 0));
     hold_timer_.Cancel();
   }
+  if (rules != nullptr) {
+    const bool shifted =
+        choice.server->server.region != gateway_.options_.placement.region;
+    rules->CountSent(rule, shifted, now);
+  }
   Send(choice.server);
   return true;
 }
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -8,6 +8,7 @@
 #include "heathersteer/hash.h"
 #include "heathersteer/route.h"
 #include "heathersteer/service.h"
+#include "heathersteer/steering_rules.h"
 
 namespace heathersteer {
 namespace {
@@ -46,6 +47,10 @@
   if (!homes.empty() && !Contains(homes, server.region)) {
     return false;
   }
+  if (request.rules != nullptr &&
+      !request.rules->Allows(request.rule, server)) {
+    return false;
+  }
   return state.evidence.usable(now);
 }
 
@@ -81,10 +86,15 @@
     const PlacementRequest& request,
     Instant now) const {
   std::vector<Candidate> ranked;
+  const bool may_shift =
+      request.rules == nullptr || request.rules->MayShift(request.rule, now);
   for (const auto& state : table.OfService(request.service->name)) {
     if (!Allowed(table, request, *state, now)) {
       continue;
     }
+    if (!may_shift && state->server.region != options_.region) {
+      continue;
+    }
     const double hash = UnitHash(request.affinity_key, state->server.id);
     ranked.push_back({state, Weight(*state, now) / -std::log(hash)});
   }
--- a/testsuite/gateway/configuration_test.py
+++ b/testsuite/gateway/configuration_test.py
@@ -1,4 +1,5 @@
 import signal
+import tempfile
 import unittest
 
 from gateway_harness import GatewayTestCase, config, route
@@ -77,6 +78,27 @@
         self.assertEqual(host.request("/x/1")[0], 503)
         self.assertEqual(self.metric(host, "heather_repeats_total"), 1)
 
+    def test_the_operators_rules_and_drains_bind(self):
+        self.backend("i-1")
+        self.backend("i-2", domain="d-b")
+        with tempfile.NamedTemporaryFile("w", suffix=".yaml") as rules:
+            rules.write("rules:\n  - {name: reads, work: idempotent = yes, to: domain = d-b, max_shift: 100%}\n")
+            rules.flush()
+            host = self.started_host(rules=rules.name)
+            host.await_log("backend server i-2 ")
+            for key in range(6):
+                self.assertEqual(host.request("/x/1", key=str(key))[2], b"from i-2")
+            rules.write("drains:\n  - {name: move, select: domain = d-b}\n")
+            rules.flush()
+            host.process.send_signal(signal.SIGHUP)
+            host.await_log("1 rules, 1 drains")
+            self.assertEqual(host.request("/x/1", deadline_ms=300)[0], 503)
+            self.assertEqual(host.request("/w/1", "POST", b"x")[2], b"from i-1")
+            rules.write("drains: []\n")
+            rules.flush()
+            host.process.send_signal(signal.SIGHUP)
+            host.await_log("rules stay as they were")
+
     def metric(self, host, name):
         status, text = host.status(host.metrics, "/metrics")
         self.assertEqual(status, 200)
--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -28,7 +28,7 @@
 class Host:
     """One process. `await_log(text)` returns once a line holds the text."""
 
-    def __init__(self, name, store, domain="d-a", address="127.0.0.1", seeds=(), bounds=None):
+    def __init__(self, name, store, domain="d-a", address="127.0.0.1", seeds=(), bounds=None, rules=None):
         self.name = name
         self.front, self.ready, self.directory, self.control, self.internal, self.metrics = free_ports(6)
         self.settings = {
@@ -45,10 +45,13 @@
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.write_settings()
+        arguments = [PROGRAM, "--settings", self.file.name, "--metrics-port", str(self.metrics)]
+        if rules is not None:
+            arguments += ["--rules", rules]
         self.lines = queue.Queue()
         self.history = []
         self.process = subprocess.Popen(
-            [PROGRAM, "--settings", self.file.name, "--metrics-port", str(self.metrics)], stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+            arguments, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
         )
         threading.Thread(target=self.read_log, daemon=True).start()
 
