Eject a backend server that sheds while it holds nothing else

Ruled out: lack of slots (the other servers of the pool were half empty). A refusal that no load explains now counts as a failure, three in a row eject. The new test of the ledger failed first.

--- a/src/libheatherlever/backend_ledger.cc
+++ b/src/libheatherlever/backend_ledger.cc
@@ -137,6 +137,10 @@
     case AttemptResult::kShed:
       answered_[index] = now;
       state.limit.OnShed(now);
+      if (state.taken() <= 1) {
+        // It held nothing but this request: no load explains the refusal.
+        CountFailure(index, now);
+      }
       return;
     case AttemptResult::kCancelled:
       answered_[index] = now;
--- a/src/libheatherlever/backend_ledger_test.cc
+++ b/src/libheatherlever/backend_ledger_test.cc
@@ -46,6 +46,33 @@
   EXPECT_EQ(ledger.usable_slots(), 4);
 }
 
+// A server that leaves without notice sheds all: while it counts as usable it
+// is the emptiest one, and gets every request first.
+TEST(BackendLedgerTest, EjectsAServerThatShedsWhileItHoldsNothingElse) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(3, 2), {}, Instant(0));
+  for (int i = 0; i < options.eject_after_failures; ++i) {
+    ledger.Take(0);
+    ledger.OnResult(0, AttemptResult::kShed, Duration(10), Instant(0));
+    ledger.Release(0);
+  }
+  EXPECT_EQ(ledger.usable_slots(), 4);
+}
+
+TEST(BackendLedgerTest, DoesNotEjectAServerThatShedsUnderLoad) {
+  const PoolOptions options;
+  BackendLedger ledger(options, 1);
+  ledger.Update(Specs(3, 2), {}, Instant(0));
+  ledger.Take(0);
+  for (int i = 0; i < 5; ++i) {
+    ledger.Take(0);
+    ledger.OnResult(0, AttemptResult::kShed, Duration(10), Instant(0));
+    ledger.Release(0);
+  }
+  EXPECT_EQ(ledger.usable_slots(), 5);
+}
+
 TEST(BackendLedgerTest, ServersAddedOrBackFromADrainAreCold) {
   const PoolOptions options;
   BackendLedger ledger(options, 1);
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -54,10 +54,19 @@
     return options;
   }
 
+  PlacementRequest Request(const std::string& key) const {
+    PlacementRequest request;
+    request.route = &route_;
+    request.service = &service_;
+    request.affinity_key = key;
+    request.tried = &tried_;
+    return request;
+  }
+
   std::shared_ptr<ServerState> Choose(const Placement& placement,
                                       const std::string& key,
                                       Instant now = kNow) {
-    const PlacementRequest request{&route_, &service_, key, &tried_};
+    const PlacementRequest request = Request(key);
     return placement.Choose(table_, request, now).server;
   }
 
@@ -166,7 +175,7 @@
   std::vector<Instant> arrivals;
   for (Instant now = kNow; now < kNow + seconds(20); now += milliseconds(20)) {
     for (int i = 0; i < kHosts; ++i) {
-      const PlacementRequest request{&route_, &service_, "7", &tried_};
+      const PlacementRequest request = Request("7");
       const auto server = hosts[i].Choose(tables[i], request, now).server;
       if (server != nullptr) {
         hosts[i].Commit(*server, service_, now);
--- a/src/libheathersteer/steering_rules_test.cc
+++ b/src/libheathersteer/steering_rules_test.cc
@@ -44,7 +44,7 @@
                          const std::string& domain) {
   BackendServer server;
   server.id = id;
-  server.service = "s";
+  server.service = "reads";
   server.region = region;
   server.domain = domain;
   return server;
@@ -52,10 +52,11 @@
 
 TEST(SteeringRulesTest, TheFirstMatchingRuleApplies) {
   const SteeringRules rules = Rules();
-  EXPECT_EQ(rules.RuleFor(MakeRoute(0, true), "s"), 0U);
-  EXPECT_EQ(rules.RuleFor(MakeRoute(1, true), "s"), 1U);
-  EXPECT_EQ(rules.RuleFor(MakeRoute(7, false), "s"), 2U);
-  EXPECT_EQ(Rules("rules: []").RuleFor(MakeRoute(0, true), "s"), std::nullopt);
+  EXPECT_EQ(rules.RuleFor(MakeRoute(0, true), "reads"), 0U);
+  EXPECT_EQ(rules.RuleFor(MakeRoute(1, true), "reads"), 1U);
+  EXPECT_EQ(rules.RuleFor(MakeRoute(7, false), "reads"), 2U);
+  EXPECT_EQ(Rules("rules: []").RuleFor(MakeRoute(0, true), "reads"),
+            std::nullopt);
 }
 
 TEST(SteeringRulesTest, SelectsByRegionLabelAndDrains) {
@@ -80,7 +81,7 @@
 }
 
 TEST(SteeringRulesTest, ErrorsNameFileAndProblem) {
-  const std::vector<std::pair<std::string, std::string>> bad = {
+  const std::vector<std::pair<const char*, const char*>> bad = {
       {"rules:\n  - {name: a, work: 'x ='}", "selector"},
       {"rules:\n  - {name: a}", "max_shift"},
       {"rulez: []", "rulez"},
@@ -104,15 +105,18 @@
   table.Put(MakeServer("far", "south", "south-a"));
   const Route route = MakeRoute(2, false);
   Service service;
-  service.name = "s";
+  service.name = "reads";
   PlacementOptions options;
   options.region = "north";
   options.domain = "north-a";
   const Placement placement(options);
   SteeringRules rules = Rules();
-  PlacementRequest request{&route, &service, "7", nullptr};
+  PlacementRequest request;
+  request.route = &route;
+  request.service = &service;
+  request.affinity_key = "7";
   request.rules = &rules;
-  request.rule = rules.RuleFor(route, "s");
+  request.rule = rules.RuleFor(route, "reads");
   const auto near = placement.Choose(table, request, seconds(1)).server;
   ASSERT_NE(near, nullptr);
   EXPECT_EQ(near->server.id, "near");
