Send an object's requests to one server of the own region

Cause: the second server of the region took a key's overflow cold, though the other regions' servers of the same key are warm; it cost two cold runs a key.

--- a/src/include/heathersteer/placement_options.h
+++ b/src/include/heathersteer/placement_options.h
@@ -15,8 +15,11 @@
   double other_region_weight = 0.15;
   /// Weight of servers in another failure domain of the own region.
   double other_domain_weight = 0.5;
-  /// Servers of the own region that are considered for one affinity key.
-  int near_choices = 2;
+  /// Servers of the own region that are considered for one affinity key, where
+  /// other regions can take what does not fit.
+  int near_choices = 1;
+  /// The same for requests that can't leave the region.
+  int sole_region_choices = 2;
   /// Servers of each other region that are considered for it. They are the ones
   /// that their own region's hosts prefer for the key, so that it is warm
   /// there.
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -111,6 +111,12 @@
   PlacementChoice choice;
   choice.candidates = static_cast<int>(ranked.size());
   double best_load = 1;
+  const bool may_leave = std::any_of(
+      ranked.begin(), ranked.end(), [&](const Candidate& candidate) {
+        return candidate.server->server.region != options_.region;
+      });
+  const int near_choices =
+      may_leave ? options_.near_choices : options_.sole_region_choices;
   std::map<std::string_view, int> taken_by_region;
   for (const Candidate& candidate : ranked) {
     ServerState& state = *candidate.server;
@@ -120,7 +126,7 @@
       continue;
     }
     const bool near = state.server.region == options_.region;
-    const int most = near ? options_.near_choices : options_.far_choices;
+    const int most = near ? near_choices : options_.far_choices;
     if (++taken_by_region[state.server.region] > most) {
       continue;
     }
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -116,10 +116,22 @@
       reached.insert(server->server.id);
       server->load.Sent();
     }
-    EXPECT_LE(reached.size(), 3U) << "key " << key;
+    EXPECT_LE(reached.size(), 2U) << "key " << key;
   }
 }
 
+// Where no other region may take the overflow, a second server does.
+TEST_F(PlacementTest, AKeyThatIsBoundToItsRegionReachesTwoServers) {
+  route_.home_regions = {"north"};
+  const Placement placement(Options("north"));
+  std::set<std::string> reached;
+  while (const auto server = Choose(placement, "7")) {
+    reached.insert(server->server.id);
+    server->load.Sent();
+  }
+  EXPECT_EQ(reached.size(), 2U);
+}
+
 TEST_F(PlacementTest, OverflowGoesWhereTheOtherRegionKeepsTheKey) {
   PlacementOptions far_only = Options("north");
   far_only.near_choices = 0;
