--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -1,7 +1,6 @@
 #include "libheathergate/http_connection.h"
 
 #include <algorithm>
-#include <array>
 #include <asio/write.hpp>
 #include <charconv>
 #include <utility>
@@ -15,17 +14,12 @@
 using heatherlever::Duration;
 using heatherlever::Instant;
 
-constexpr std::size_t kReadBytes = 32768;
+// Bytes of the head of a response.
+constexpr std::size_t kMostHeadBytes = 32768;
 // Part of the peer's announced keep-alive time that is used: a request must not
 // cross the peer's close.
 constexpr double kKeepAliveShare = 0.6;
 
-// One for all connections: input is parsed before the next read.
-std::array<char, kReadBytes>& SharedBuffer() {
-  static std::array<char, kReadBytes> buffer;
-  return buffer;
-}
-
 }  // namespace
 
 HttpConnection::HttpConnection(HttpClient& client,
@@ -36,16 +30,13 @@
       socket_(loop.context()),
       connect_timer_(loop),
       reader_(HttpReader::Kind::kResponse,
-              {.head_bytes = kReadBytes,
+              {.head_bytes = kMostHeadBytes,
                .body_bytes = client.options_.most_body_bytes}) {}
 
 void HttpConnection::Open(std::shared_ptr<HttpCall> call,
                           std::string request,
                           std::string echo) {
-  call_ = std::move(call);
-  call_->connection_ = shared_from_this();
-  request_ = std::move(request);
-  echo_ = std::move(echo);
+  Take(std::move(call), std::move(request), std::move(echo));
   std::error_code error;
   const auto address = asio::ip::make_address(peer_.address, error);
   if (error) {
@@ -82,12 +73,18 @@
 void HttpConnection::Start(std::shared_ptr<HttpCall> call,
                            std::string request,
                            std::string echo) {
+  Take(std::move(call), std::move(request), std::move(echo));
+  reader_.Reset();
+  Write();
+}
+
+void HttpConnection::Take(std::shared_ptr<HttpCall> call,
+                          std::string request,
+                          std::string echo) {
   call_ = std::move(call);
   call_->connection_ = shared_from_this();
   request_ = std::move(request);
   echo_ = std::move(echo);
-  reader_.Reset();
-  Write();
 }
 
 void HttpConnection::Write() {
@@ -121,18 +118,12 @@
 }
 
 void HttpConnection::ReadInput() {
-  auto& buffer = SharedBuffer();
-  std::error_code error;
-  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block) {
-    AwaitInput();
-    return;
-  }
-  if (error) {
-    OnEnd(error);
+  const SocketInput input = ReadAvailable(socket_);
+  if (input.error && input.error != asio::error::would_block) {
+    OnEnd(input.error);
     return;
   }
-  OnInput({buffer.data(), size});
+  OnInput(input.data);
   if (!closed_ && !reading_) {
     AwaitInput();
   }
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -1,6 +1,5 @@
 #include "libheathergate/http_session.h"
 
-#include <array>
 #include <asio/write.hpp>
 #include <utility>
 
@@ -12,7 +11,6 @@
 
 using heatherlever::Duration;
 
-constexpr std::size_t kReadBytes = 32768;
 // Bytes of later requests that are kept while one is being answered.
 constexpr std::size_t kMostPending = 65536;
 // Time for a peer to close after the last response, so that its unread bytes do
@@ -21,11 +19,6 @@
 // Time for sent bytes to be acknowledged by the client's kernel.
 constexpr Duration kClientAckTimeout = std::chrono::seconds(5);
 
-std::array<char, kReadBytes>& SharedBuffer() {
-  static std::array<char, kReadBytes> buffer;
-  return buffer;
-}
-
 bool HasBody(int status) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -94,19 +87,13 @@
 }
 
 void HttpSession::ReadInput() {
-  auto& buffer = SharedBuffer();
-  std::error_code error;
-  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block) {
-    AwaitInput();
-    return;
-  }
-  if (error) {
-    OnReadEnd(error);
+  const SocketInput input = ReadAvailable(socket_);
+  if (input.error && input.error != asio::error::would_block) {
+    OnReadEnd(input.error);
     return;
   }
   if (!lingering_ && !close_after_write_) {
-    pending_.append(buffer.data(), size);
+    pending_.append(input.data);
     Parse();
   }
   // A full buffer leaves the rest to the kernel until the answer is out.
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -3,9 +3,16 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <asio/buffer.hpp>
 #include <cerrno>
 
 namespace heathergate {
+namespace {
+
+constexpr std::size_t kReadBytes = 32768;
+
+}  // namespace
 
 void PrepareSocket(asio::ip::tcp::socket& socket,
                    heatherlever::Duration ack_timeout) {
@@ -26,4 +33,12 @@
   return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+SocketInput ReadAvailable(asio::ip::tcp::socket& socket) {
+  static std::array<char, kReadBytes> buffer;
+  SocketInput input;
+  const std::size_t size = socket.read_some(asio::buffer(buffer), input.error);
+  input.data = {buffer.data(), size};
+  return input;
+}
+
 }  // namespace heathergate
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -2,6 +2,8 @@
 #define LIBHEATHERGATE_SOCKET_OPTIONS_H_
 
 #include <asio/ip/tcp.hpp>
+#include <string_view>
+#include <system_error>
 
 #include "heatherlever/instant.h"
 
@@ -16,6 +18,16 @@
 /// for.
 bool HasPendingInput(asio::ip::tcp::socket& socket);
 
+/// Input that one read of a readable socket gave. It stands in a buffer that
+/// all connections share, and has to be used before the next read.
+struct SocketInput {
+  std::string_view data;
+  /// would_block if there was nothing to read after all.
+  std::error_code error;
+};
+
+SocketInput ReadAvailable(asio::ip::tcp::socket& socket);
+
 }  // namespace heathergate
 
 #endif  // LIBHEATHERGATE_SOCKET_OPTIONS_H_
