--- a/src/libheathersteer/steering_rules.cc
+++ b/src/libheathersteer/steering_rules.cc
@@ -27,7 +27,7 @@
 constexpr std::array<const char*, 3> kRankNames = {"first", "second", "third"};
 
 std::string UniqueName(YamlMap& map, std::set<std::string>& names) {
-  const std::string name = map.Text("name");
+  std::string name = map.Text("name");
   if (!names.insert(name).second) {
     map.Fail("name", "the name '" + name + "' is there twice");
   }
