Give a question to a seed up before a host is followed

Cause, found by reading: a seed's late answer stopped the timeout of the question to the followed host and dropped its handle; if that host then went silent, this one read the store for itself for good. No test of its own: the order of the two answers can't be forced over the present stand-ins.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -80,6 +80,7 @@
   void ReadOperator();
   void OnServersChanged();
   void OnOperator(const heathersteer::OperatorState& state);
+  void CancelAsk();
   void AskSeed();
   void OnSeedAnswer(const CallResult& result);
   bool HasNews(const RelayQuestion& question) const;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -135,6 +135,13 @@
   });
 }
 
+void FleetAgent::CancelAsk() {
+  ask_timer_.Cancel();
+  if (const auto call = std::exchange(ask_, nullptr)) {
+    call->Cancel();
+  }
+}
+
 void FleetAgent::AskSeed() {
   if (seeds_.empty() || ask_ != nullptr || operator_sequence_ != 0) {
     return;
@@ -146,11 +153,7 @@
   question.front = order_.self().front;
   question.joined = kNotRegistered;
   const std::string body = EncodeQuestion(question);
-  ask_timer_.Start(kHold + kAnswerSlack, [this] {
-    if (const auto call = std::exchange(ask_, nullptr)) {
-      call->Cancel();
-    }
-  });
+  ask_timer_.Start(kHold + kAnswerSlack, [this] { CancelAsk(); });
   ask_ = client_.Send(seed, QuestionHead(seed.name, body.size()), body, "",
                       [this](const CallResult& result) {
                         ask_timer_.Cancel();
@@ -225,6 +228,8 @@
 }
 
 void FleetAgent::Ask(const HostRecord& host) {
+  // A question to a seed may still be under way.
+  CancelAsk();
   const bool same = !followed_instance_.empty();
   const RelayQuestion question{
       .name = order_.self().name,
@@ -237,9 +242,7 @@
       .live_sequence = same ? followed_live_ : 0};
   const std::string body = EncodeQuestion(question);
   ask_timer_.Start(kHold + kAnswerSlack, [this, host] {
-    if (const auto call = std::exchange(ask_, nullptr)) {
-      call->Cancel();
-    }
+    CancelAsk();
     OnFollowFailed(host, "no answer in time");
   });
   ask_ = client_.Send({host.name, host.relay_address, host.relay_port},
@@ -531,9 +534,7 @@
   held_.clear();
   if (!following_.empty()) {
     // Tells the followed host at once.
-    if (const auto call = std::exchange(ask_, nullptr)) {
-      call->Cancel();
-    }
+    CancelAsk();
     Follow();
   }
 }
