--- a/scripts/lint-unit.py
+++ b/scripts/lint-unit.py
@@ -30,8 +30,9 @@
     # Comments are kept: they hold the linter's own marks.
     words[words.index("-c"):words.index("-c") + 1] = ["-E", "-C"]
     text = subprocess.run(words, cwd=entry["directory"], check=True, capture_output=True).stdout
-    # Line markers name the checkout's folder, which differs from run to run.
-    return re.sub(rb'(?m)^# (\d+) "[^"]*/([^"/]*)".*$', rb"# \1 \2", text)
+    # Line markers and __FILE__ name the checkout's folder, which differs from run
+    # to run.
+    return text.replace(os.getcwd().encode(), b"")
 
 
 def stamp(entry):
