Refuse a key or a label that a YAML file gives twice

Cause: yaml-cpp takes such a key and finds the first one only, so the strict reader dropped the later one without a word.

--- a/src/libheatherlever/deployment_loader_test.cc
+++ b/src/libheatherlever/deployment_loader_test.cc
@@ -67,6 +67,8 @@
         BadInput{"delay: 12ms", "delay: 12", "duration with its unit"},
         BadInput{"capacity: 4000Mbit/s", "capacity: 4000", "unit Mbit/s"},
         BadInput{"max_shift: 40%", "max_shift: 140%", "from 0% to 100%"},
+        BadInput{"max_shift: 40%", "max_shift: 40%\n    max_shift: 50%",
+                 "key 'max_shift' is given twice"},
         BadInput{"slots: 9", "slots: 0", "from 1 to"},
         BadInput{"service: valvedesk", "service: valvdesk",
                  "did you mean 'valvedesk'?"},
--- a/src/libheatherlever/yaml_map.cc
+++ b/src/libheatherlever/yaml_map.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <map>
+#include <set>
 
 #include "heatherlever/ipv4.h"
 #include "heatherlever/nearest_word.h"
@@ -32,6 +33,19 @@
     throw SettingsError(file_, LineOf(node_),
                         what_ + " has to be a mapping of keys to values");
   }
+  CheckKeys();
+}
+
+// yaml-cpp takes a key that is given twice, and finds the first one only.
+void YamlMap::CheckKeys() const {
+  std::set<std::string> keys;
+  for (const auto& entry : node_) {
+    const std::string key = Scalar(entry.first, "key");
+    if (!keys.insert(key).second) {
+      throw SettingsError(file_, LineOf(entry.first),
+                          what_ + ": key '" + key + "' is given twice");
+    }
+  }
 }
 
 YamlMap YamlMap::Parse(const std::string& text, const std::string& file) {
@@ -216,7 +230,9 @@
       Fail(key, "label '" + name + ": " + value +
                     "' wants words of letters, digits, '.', '-' and '_'");
     }
-    labels.emplace(name, value);
+    if (!labels.emplace(name, value).second) {
+      Fail(key, "label '" + name + "' is given twice");
+    }
   }
   return labels;
 }
--- a/src/libheatherlever/yaml_map.h
+++ b/src/libheatherlever/yaml_map.h
@@ -74,6 +74,7 @@
                          const std::string& message) const;
 
  private:
+  void CheckKeys() const;
   YAML::Node Find(const std::string& key);
   YAML::Node Require(const std::string& key);
   std::string Scalar(const YAML::Node& node, const std::string& key) const;
