Retry work that was certainly not run without the retry budget

The budget guards against repeated load, and shed work put none on a server: the rule that non-idempotent work had already now holds for all work. Ruled out: lack of slots and the number of attempts (two servers, three attempts). Figures: the new test of the pool failed first.

--- a/src/libheatherlever/pool_finish.cc
+++ b/src/libheatherlever/pool_finish.cc
@@ -51,15 +51,14 @@
   }
 }
 
-// Non-idempotent work is bound by its number of attempts alone: the budget
-// guards against repeated load, and work that was not run put none on a
-// server.
+// Work that was certainly not run is bound by its number of attempts alone: the
+// budget guards against repeated load, and it put none on a server.
 bool PoolEngine::MayRetry(const PoolJob& job, Instant now) {
   const bool allowed =
       (job.idempotent || !job.may_have_run) &&
       job.tried.size() < static_cast<std::size_t>(options_.max_attempts) &&
       !IsHopeless(job, now) && ledger_.HasOther(job.tried);
-  return allowed && (!job.idempotent || budget_.Withdraw());
+  return allowed && (!job.may_have_run || budget_.Withdraw());
 }
 
 void PoolEngine::FinishJob(PoolJob& job,
--- a/src/libheatherlever/pool_queue_test.cc
+++ b/src/libheatherlever/pool_queue_test.cc
@@ -131,6 +131,33 @@
   EXPECT_EQ(driver.finished.at(booking.id).reason, FinishReason::kNoServer);
 }
 
+// A server that sheds everything uses up any budget of retries. Work that it
+// has certainly not run put no load on it, and goes on elsewhere all the same.
+TEST(PoolQueueTest, RetriesIdempotentWorkThatWasNotRunWithoutABudget) {
+  PoolOptions options;
+  options.retry_share = 0;
+  options.retry_burst = 0;
+  PoolTestDriver driver(options);
+  driver.SetBackends(2, 1, {});
+  const RequestId id = driver.Submit(driver.Request("a", Rank::kSecond));
+  driver.Done(1, AttemptResult::kShed);
+  ASSERT_EQ(driver.attempts.size(), 2U);
+  driver.Done(2, AttemptResult::kOk);
+  EXPECT_EQ(driver.finished.at(id).outcome, RequestOutcome::kDone);
+}
+
+TEST(PoolQueueTest, DoesNotRetryWorkThatMayHaveRunWithoutABudget) {
+  PoolOptions options;
+  options.retry_share = 0;
+  options.retry_burst = 0;
+  PoolTestDriver driver(options);
+  driver.SetBackends(2, 1, {});
+  const RequestId id = driver.Submit(driver.Request("a", Rank::kSecond));
+  driver.Done(1, AttemptResult::kError);
+  EXPECT_EQ(driver.attempts.size(), 1U);
+  EXPECT_EQ(driver.finished.at(id).outcome, RequestOutcome::kUnknown);
+}
+
 TEST(PoolQueueTest, NeverRunsBrokenNonIdempotentWorkAgain) {
   PoolTestDriver driver;
   driver.SetBackends(3, 1, {});
