Let the gateway use the project's event loop, timers and program frame

Cause: found by reading the diff: heathernet::EventLoop and RunProgram stood there already, and the gateway wrote an event loop, a clock and a command-line frame again.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -17,9 +17,12 @@
 #include "heathersteer/relay_order.h"
 #include "heathersteer/server_list.h"
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
-class EventLoop;
 struct RelayAnswer;
 struct RelayQuestion;
 
@@ -38,7 +41,7 @@
 /// themselves only while they can't reach it or its news are old.
 class FleetAgent {
  public:
-  FleetAgent(EventLoop& loop,
+  FleetAgent(heathernet::EventLoop& loop,
              FleetSource& source,
              const heathersteer::HostRecord& self,
              FleetListener listener);
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -25,16 +25,19 @@
 class SteeringRules;
 }  // namespace heathersteer
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
-class EventLoop;
 class ForwardedRequest;
 class HttpExchange;
 
 /// Forwards clients' requests to backend servers by the configuration in force.
 class Gateway {
  public:
-  Gateway(EventLoop& loop, GatewayOptions options);
+  Gateway(heathernet::EventLoop& loop, GatewayOptions options);
   ~Gateway();
 
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
@@ -86,7 +89,7 @@
   void StartTick();
   double Random();
 
-  EventLoop& loop_;
+  heathernet::EventLoop& loop_;
   GatewayOptions options_;
   HttpClient client_;
   heathersteer::Placement placement_;
--- a/src/include/heathergate/http_client.h
+++ b/src/include/heathergate/http_client.h
@@ -11,9 +11,12 @@
 #include "heathergate/http_call.h"
 #include "heatherlever/instant.h"
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
-class EventLoop;
 class HttpConnection;
 
 /// Where a call goes.
@@ -41,7 +44,7 @@
 /// An HTTP/1.1 client with kept connections, one request at a time on each.
 class HttpClient {
  public:
-  HttpClient(EventLoop& loop, HttpClientOptions options);
+  HttpClient(heathernet::EventLoop& loop, HttpClientOptions options);
   ~HttpClient();
 
   /// Sends a request: `head` is the whole head, up to the empty line. `echo` is
@@ -65,7 +68,7 @@
   void Drop(const std::shared_ptr<HttpConnection>& connection);
   std::shared_ptr<HttpConnection> TakeIdle(const std::string& peer_name);
 
-  EventLoop& loop_;
+  heathernet::EventLoop& loop_;
   HttpClientOptions options_;
   std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
   std::uint64_t opened_ = 0;
--- a/src/include/heathergate/http_server.h
+++ b/src/include/heathergate/http_server.h
@@ -8,9 +8,12 @@
 
 #include "heathersteer/traffic_config.h"
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
-class EventLoop;
 class HttpExchange;
 
 /// An HTTP/1.1 server on one address. Connections stay open between requests;
@@ -20,7 +23,7 @@
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
   /// Listens at once; throws std::system_error if the address can't be had.
-  HttpServer(EventLoop& loop,
+  HttpServer(heathernet::EventLoop& loop,
              const std::string& address,
              std::uint16_t port,
              Handler handler);
--- a/src/include/heathergate/log_buffer.h
+++ b/src/include/heathergate/log_buffer.h
@@ -4,16 +4,18 @@
 #include <cstdint>
 #include <memory>
 
-namespace heathergate {
-
+namespace heathernet {
 class EventLoop;
+}  // namespace heathernet
+
+namespace heathergate {
 
 /// Sends the default logger's lines to standard output from the event loop.
 /// Lines are collected and written together; they never block. While the reader
 /// is too slow, further lines are dropped and counted in a later one.
 class LogBuffer {
  public:
-  explicit LogBuffer(EventLoop& loop);
+  explicit LogBuffer(heathernet::EventLoop& loop);
 
   /// Writes what is left and gives the default logger its own output back.
   ~LogBuffer();
--- a/src/include/heathergate/timer.h
+++ b/src/include/heathergate/timer.h
@@ -2,26 +2,30 @@
 #define HEATHERGATE_TIMER_H_
 
 #include <functional>
-#include <memory>
 
 #include "heatherlever/instant.h"
+#include "heathernet/timer_handle.h"
 
-namespace heathergate {
-
+namespace heathernet {
 class EventLoop;
+}  // namespace heathernet
+
+namespace heathergate {
 
 /// Runs one function after a time. Destruction or a new start cancels it.
 class Timer {
  public:
-  explicit Timer(EventLoop& loop);
+  explicit Timer(heathernet::EventLoop& loop) : loop_(loop) {}
   ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
 
   void Start(heatherlever::Duration delay, std::function<void()> function);
   void Cancel();
 
  private:
-  struct Impl;
-  std::shared_ptr<Impl> impl_;
+  heathernet::EventLoop& loop_;
+  heathernet::TimerHandle handle_;
 };
 
 }  // namespace heathergate
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -6,8 +6,8 @@
 #include <random>
 #include <utility>
 
-#include "heathergate/event_loop.h"
 #include "heathergate/http_exchange.h"
+#include "heathernet/event_loop.h"
 #include "libheathergate/relay_codec.h"
 
 namespace heathergate {
@@ -15,6 +15,7 @@
 
 using heatherlever::Duration;
 using heatherlever::Instant;
+using heathernet::EventLoop;
 using heathersteer::BackendServer;
 using heathersteer::HostRecord;
 using heathersteer::OperatorState;
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -7,9 +7,9 @@
 #include <cstdio>
 #include <utility>
 
-#include "heathergate/event_loop.h"
 #include "heathergate/gateway.h"
 #include "heathergate/http_exchange.h"
+#include "heathernet/event_loop.h"
 #include "heathersteer/rejection.h"
 #include "heathersteer/steering_rules.h"
 #include "libheathergate/load_report.h"
@@ -19,6 +19,7 @@
 
 using heatherlever::Duration;
 using heatherlever::Instant;
+using heathernet::EventLoop;
 using heathersteer::AttemptOutcome;
 using heathersteer::NextStep;
 
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -14,9 +14,12 @@
 #include "heathersteer/server_state.h"
 #include "heathersteer/traffic_config.h"
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
-class EventLoop;
 class Gateway;
 class HttpExchange;
 
@@ -24,7 +27,7 @@
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
  public:
   ForwardedRequest(Gateway& gateway,
-                   EventLoop& loop,
+                   heathernet::EventLoop& loop,
                    std::shared_ptr<HttpExchange> exchange,
                    std::shared_ptr<const heathersteer::TrafficConfig> config,
                    const heathersteer::Route& route,
@@ -56,7 +59,7 @@
   void Log(int status, const char* reason) const;
 
   Gateway& gateway_;
-  EventLoop& loop_;
+  heathernet::EventLoop& loop_;
   std::shared_ptr<HttpExchange> exchange_;
   // Keeps route_ and service_ alive.
   std::shared_ptr<const heathersteer::TrafficConfig> config_;
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -2,13 +2,11 @@
 
 #include <spdlog/spdlog.h>
 
-#include <asio/io_context.hpp>
-#include <asio/post.hpp>
 #include <utility>
 #include <vector>
 
-#include "heathergate/event_loop.h"
 #include "heathergate/http_exchange.h"
+#include "heathernet/event_loop.h"
 #include "heathersteer/traffic_config.h"
 #include "libheathergate/forwarded_request.h"
 
@@ -16,6 +14,7 @@
 namespace {
 
 using heatherlever::Duration;
+using heathernet::EventLoop;
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -117,7 +116,7 @@
   // reference, on the next turn of the loop.
   const auto last = found->second;
   active_.erase(found);
-  asio::post(loop_.context(), [last] {});
+  loop_.Post([last] {});
 }
 
 std::uint64_t Gateway::Wait(ForwardedRequest* request,
--- a/src/libheathergate/http_client.cc
+++ b/src/libheathergate/http_client.cc
@@ -3,10 +3,15 @@
 #include <algorithm>
 #include <utility>
 
-#include "heathergate/event_loop.h"
+#include "heathernet/event_loop.h"
 #include "libheathergate/http_connection.h"
 
 namespace heathergate {
+namespace {
+
+using heathernet::EventLoop;
+
+}  // namespace
 
 HttpClient::HttpClient(EventLoop& loop, HttpClientOptions options)
     : loop_(loop), options_(std::move(options)) {}
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -5,14 +5,16 @@
 #include <charconv>
 #include <utility>
 
-#include "heathergate/event_loop.h"
+#include "heathernet/event_loop.h"
 #include "libheathergate/socket_options.h"
+#include "libheathernet/event_loop_impl.h"
 
 namespace heathergate {
 namespace {
 
 using heatherlever::Duration;
 using heatherlever::Instant;
+using heathernet::EventLoop;
 
 // Bytes of the head of a response.
 constexpr std::size_t kMostHeadBytes = 32768;
@@ -27,7 +29,7 @@
                                HttpPeer peer)
     : client_(client),
       peer_(std::move(peer)),
-      socket_(loop.context()),
+      socket_(loop.impl()->context),
       connect_timer_(loop),
       reader_(HttpReader::Kind::kResponse,
               {.head_bytes = kMostHeadBytes,
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -10,12 +10,18 @@
 #include "heathergate/http_reader.h"
 #include "heathergate/timer.h"
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
 /// One connection of an HttpClient: opened for a call, kept for later ones.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
-  HttpConnection(HttpClient& client, EventLoop& loop, HttpPeer peer);
+  HttpConnection(HttpClient& client,
+                 heathernet::EventLoop& loop,
+                 HttpPeer peer);
 
   /// Opens the connection, then sends the call's request.
   void Open(std::shared_ptr<HttpCall> call,
--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -7,15 +7,17 @@
 #include <utility>
 #include <vector>
 
-#include "heathergate/event_loop.h"
 #include "heathergate/http_exchange.h"
 #include "heathergate/timer.h"
+#include "heathernet/event_loop.h"
 #include "libheathergate/http_session.h"
+#include "libheathernet/event_loop_impl.h"
 
 namespace heathergate {
 namespace {
 
 using asio::ip::tcp;
+using heathernet::EventLoop;
 
 // Bound on buffered requests where the memory of the host is not known.
 constexpr std::size_t kDefaultMostBuffered = 32 << 20;
@@ -32,7 +34,8 @@
        std::uint16_t port,
        Handler handler)
       : loop_(loop),
-        acceptor_(loop.context(), {asio::ip::make_address(address), port}),
+        acceptor_(loop.impl()->context,
+                  {asio::ip::make_address(address), port}),
         pause_(loop),
         handler_(std::move(handler)) {}
 
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -3,13 +3,14 @@
 #include <asio/write.hpp>
 #include <utility>
 
-#include "heathergate/event_loop.h"
+#include "heathernet/event_loop.h"
 #include "libheathergate/socket_options.h"
 
 namespace heathergate {
 namespace {
 
 using heatherlever::Duration;
+using heathernet::EventLoop;
 
 // Bytes of later requests that are kept while one is being answered.
 constexpr std::size_t kMostPending = 65536;
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -12,6 +12,10 @@
 #include "heathergate/timer.h"
 #include "heathersteer/traffic_config.h"
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
 class SessionOwner;
@@ -20,7 +24,7 @@
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
   HttpSession(SessionOwner& owner,
-              EventLoop& loop,
+              heathernet::EventLoop& loop,
               asio::ip::tcp::socket socket);
 
   void Start();
--- a/src/libheathergate/log_buffer.cc
+++ b/src/libheathergate/log_buffer.cc
@@ -9,13 +9,14 @@
 
 #include <string>
 
-#include "heathergate/event_loop.h"
 #include "heathergate/timer.h"
+#include "heathernet/event_loop.h"
 
 namespace heathergate {
 namespace {
 
 using heatherlever::Duration;
+using heathernet::EventLoop;
 
 // Bytes that wait for the reader; about a thousand lines.
 constexpr std::size_t kMostBytes = std::size_t{256} * 1024;
