--- a/src/include/heathergate/http_head.h
+++ b/src/include/heathergate/http_head.h
@@ -26,6 +26,9 @@
 
   /// Value of the first field of that name, in any case; nullptr if absent.
   const std::string* Find(std::string_view name) const;
+
+  /// The same; an empty text if absent.
+  std::string Value(std::string_view name) const;
 };
 
 /// Whether two header names are equal but for case.
--- a/src/include/heathergate/http_response.h
+++ b/src/include/heathergate/http_response.h
@@ -10,6 +10,9 @@
 
 /// A whole response. Content-Length and Connection are added when it is sent.
 struct HttpResponse {
+  /// A response without fields of its own.
+  static HttpResponse Of(int status, std::string body = {});
+
   int status = 200;
   std::vector<HeaderField> fields;
   std::string body;
--- /dev/null
+++ b/src/include/heathersteer/milliseconds.h
@@ -0,0 +1,19 @@
+#ifndef HEATHERSTEER_MILLISECONDS_H_
+#define HEATHERSTEER_MILLISECONDS_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "heatherlever/instant.h"
+
+namespace heathersteer {
+
+/// Whole milliseconds of a time, rounded towards 0.
+constexpr std::int64_t Milliseconds(heatherlever::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_MILLISECONDS_H_
--- a/src/include/heathersteer/route_table.h
+++ b/src/include/heathersteer/route_table.h
@@ -11,6 +11,9 @@
 struct Route;
 struct TrafficConfig;
 
+/// The path of a request target, without its query.
+std::string_view PathOf(std::string_view target);
+
 /// Finds the route of a request: among those of its host, the one with the
 /// longest prefix that begins the path.
 class RouteTable {
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -7,7 +7,9 @@
 #include <utility>
 
 #include "heathergate/http_exchange.h"
+#include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
+#include "heathersteer/milliseconds.h"
 #include "libheathergate/relay_codec.h"
 
 namespace heathergate {
@@ -47,10 +49,6 @@
 constexpr Duration kTimerSlack = std::chrono::milliseconds(5);
 constexpr Duration kTick = std::chrono::milliseconds(150);
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kConflict = 409;
-constexpr int kUnavailable = 503;
 constexpr const char* kRelayPath = "/relay";
 // Stands for the registration of a host that has none yet: it may follow all.
 constexpr std::uint64_t kNotRegistered = UINT64_MAX;
@@ -62,13 +60,6 @@
   return options;
 }
 
-HttpResponse Plain(int status, std::string body = {}) {
-  HttpResponse response;
-  response.status = status;
-  response.body = std::move(body);
-  return response;
-}
-
 std::string QuestionHead(const std::string& host, std::size_t body_size) {
   return std::string("POST ") + kRelayPath + " HTTP/1.1\r\nHost: " + host +
          "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
@@ -164,10 +155,10 @@
 }
 
 void FleetAgent::OnSeedAnswer(const CallResult& result) {
-  const auto answer =
-      result.outcome == CallOutcome::kAnswered && result.head.status == kOk
-          ? DecodeAnswer(result.body, EventLoop::Now())
-          : std::nullopt;
+  const auto answer = result.outcome == CallOutcome::kAnswered &&
+                              result.head.status == kStatusOk
+                          ? DecodeAnswer(result.body, EventLoop::Now())
+                          : std::nullopt;
   if (!answer || !answer->operator_state || !answer->servers) {
     spdlog::warn("the seed knows nothing: {}",
                  result.error.empty() ? std::to_string(result.head.status)
@@ -261,13 +252,13 @@
     return;
   }
   const auto answer = DecodeAnswer(result.body, EventLoop::Now());
-  if (result.head.status == kConflict && answer) {
+  if (result.head.status == kStatusConflict && answer) {
     // It registered after this host, which therefore precedes it.
     order_.Learn(host.name, answer->joined);
     Follow();
     return;
   }
-  if (result.head.status != kOk || !answer) {
+  if (result.head.status != kStatusOk || !answer) {
     OnFollowFailed(host, "status " + std::to_string(result.head.status));
     return;
   }
@@ -345,9 +336,7 @@
     } else {
       store_failed_ = true;
       spdlog::warn("backend servers not read, the list of {} ms ago stays: {}",
-                   std::chrono::duration_cast<std::chrono::milliseconds>(
-                       asked_at - servers_.known_at())
-                       .count(),
+                   heathersteer::Milliseconds(asked_at - servers_.known_at()),
                    servers.status().ToString());
     }
     if (!ShouldRead()) {
@@ -417,12 +406,12 @@
 void FleetAgent::OnQuestion(const std::shared_ptr<HttpExchange>& exchange) {
   const auto question = DecodeQuestion(exchange->body());
   if (exchange->head().target != kRelayPath || !question) {
-    exchange->Respond(Plain(kBadRequest));
+    exchange->Respond(HttpResponse::Of(kStatusBadRequest));
     return;
   }
   const bool informed = registered_ || operator_sequence_ != 0;
   if (leaving_ || !informed) {
-    exchange->Respond(Plain(kUnavailable));
+    exchange->Respond(HttpResponse::Of(kStatusUnavailable));
     return;
   }
   const Instant now = EventLoop::Now();
@@ -430,7 +419,8 @@
   if (!order_.MayFollow(question->joined)) {
     RelayAnswer answer;
     answer.joined = order_.self().joined;
-    exchange->Respond(Plain(kConflict, EncodeAnswer(answer, now)));
+    exchange->Respond(
+        HttpResponse::Of(kStatusConflict, EncodeAnswer(answer, now)));
     return;
   }
   if (live_.Heard(question->front, question->ready, now)) {
@@ -496,7 +486,8 @@
   if (!same || question.live_sequence != live_sequence_) {
     answer.fronts = Fronts();
   }
-  held.exchange->Respond(Plain(kOk, EncodeAnswer(answer, now)));
+  held.exchange->Respond(
+      HttpResponse::Of(kStatusOk, EncodeAnswer(answer, now)));
 }
 
 void FleetAgent::Tick() {
@@ -530,7 +521,7 @@
 void FleetAgent::StartLeaving() {
   leaving_ = true;
   for (HeldQuestion& held : held_) {
-    held.exchange->Respond(Plain(kUnavailable));
+    held.exchange->Respond(HttpResponse::Of(kStatusUnavailable));
   }
   held_.clear();
   if (!following_.empty()) {
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -9,7 +9,9 @@
 
 #include "heathergate/gateway.h"
 #include "heathergate/http_exchange.h"
+#include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
+#include "heathersteer/milliseconds.h"
 #include "heathersteer/rejection.h"
 #include "heathersteer/steering_rules.h"
 #include "libheathergate/load_report.h"
@@ -21,14 +23,9 @@
 using heatherlever::Instant;
 using heathernet::EventLoop;
 using heathersteer::AttemptOutcome;
+using heathersteer::Milliseconds;
 using heathersteer::NextStep;
 
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kFirstServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 // Time beyond the route's timeout for a backend server's own answer at it.
 constexpr Duration kTimeoutSlack = std::chrono::milliseconds(100);
 
@@ -38,18 +35,8 @@
 
 // Statuses that state, towards clients, that a request has not run.
 bool StatesNotRun(int status) {
-  return status == kTooManyRequests || status == kUnavailable ||
-         status == kMisdirected || status == 408;
-}
-
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
-std::string FieldOr(const HttpHead& head, const std::string& name) {
-  const std::string* value = head.Find(name);
-  return value == nullptr ? std::string() : *value;
+  return status == kStatusTooManyRequests || status == kStatusUnavailable ||
+         status == kStatusMisdirected || status == kStatusRequestTimeout;
 }
 
 // The time left that the client states; `otherwise` if it states none.
@@ -84,11 +71,11 @@
       deadline_timer_(loop),
       hold_timer_(loop) {
   const HeaderNames& names = gateway_.options_.names;
-  id_ = FieldOr(exchange_->head(), names.request_id);
-  affinity_key_ = FieldOr(exchange_->head(), names.affinity_key);
+  id_ = exchange_->head().Value(names.request_id);
+  affinity_key_ = exchange_->head().Value(names.affinity_key);
   const Instant now = exchange_->received();
-  const Duration left = StatedTimeLeft(
-      FieldOr(exchange_->head(), names.time_left), route_.timeout);
+  const Duration left =
+      StatedTimeLeft(exchange_->head().Value(names.time_left), route_.timeout);
   client_deadline_ = now + left;
   deadline_ = now + std::min(left, route_.timeout);
 }
@@ -112,7 +99,7 @@
   ticket_ = gateway_.Wait(this, service_.name, route_.rank);
   hold_timer_.Start(heathersteer::LongestHold(route_), [this] {
     if (policy_.WithoutRepeat() == NextStep::kFail) {
-      Fail(kBadGateway, "no room for a repeat");
+      Fail(kStatusBadGateway, "no room for a repeat");
     } else {
       Reject("no room");
     }
@@ -215,7 +202,7 @@
   }
   const HeaderNames& names = gateway_.options_.names;
   if (result.head.Find(names.not_executed) != nullptr ||
-      result.head.status == kMisdirected) {
+      result.head.status == kStatusMisdirected) {
     return AttemptOutcome::kNotExecuted;
   }
   // Nobody asked for an encoding, and a server signs its answers.
@@ -225,8 +212,8 @@
   if (IsSuccess(result.head.status) && !genuine) {
     return AttemptOutcome::kBroken;
   }
-  return result.head.status >= kFirstServerError ? AttemptOutcome::kServerError
-                                                 : AttemptOutcome::kAnswered;
+  return result.head.status >= kStatusServerError ? AttemptOutcome::kServerError
+                                                  : AttemptOutcome::kAnswered;
 }
 
 void ForwardedRequest::TakeEvidence(const CallResult& result,
@@ -238,8 +225,8 @@
     evidence.Failed(now);
     return;
   }
-  const auto load = ParseLoadReport(
-      FieldOr(result.head, gateway_.options_.names.server_load));
+  const auto load =
+      ParseLoadReport(result.head.Value(gateway_.options_.names.server_load));
   if (load) {
     server_->load.Report(load->running, load->waiting, now);
   }
@@ -248,7 +235,7 @@
     return;
   }
   ++gateway_.counters_.refused_by_server;
-  if (result.head.status == kMisdirected) {
+  if (result.head.status == kStatusMisdirected) {
     evidence.Failed(now);
   } else if (load && load->running < load->slots) {
     evidence.Refused(now);
@@ -270,7 +257,7 @@
       Reject("no server took it");
       return;
     case NextStep::kFail:
-      Fail(kBadGateway, "outcome unknown");
+      Fail(kStatusBadGateway, "outcome unknown");
       return;
   }
 }
@@ -291,14 +278,12 @@
 
 void ForwardedRequest::Deliver(const CallResult& result) {
   const std::string* connection = result.head.Find("Connection");
-  HttpResponse response;
-  response.status = result.head.status;
-  response.body = result.body;
+  HttpResponse response = HttpResponse::Of(result.head.status, result.body);
   const bool changed = StatesNotRun(response.status);
   if (changed) {
     // The request has run: a status that states the contrary is not passed on,
     // nor the signature that belongs to it.
-    response.status = kBadGateway;
+    response.status = kStatusBadGateway;
   }
   for (const HeaderField& field : result.head.fields) {
     const bool drop =
@@ -321,18 +306,15 @@
   char seconds[32];
   std::snprintf(seconds, sizeof(seconds), "%.3f",
                 static_cast<double>(pause.count()) / 1e6);
-  HttpResponse response;
-  response.status = kUnavailable;
+  HttpResponse response = HttpResponse::Of(kStatusUnavailable);
   response.fields.push_back({"Retry-After", seconds});
   ++gateway_.counters_.rejected;
   Finish(std::move(response), reason);
 }
 
 void ForwardedRequest::Fail(int status, const char* reason) {
-  HttpResponse response;
-  response.status = status;
   ++gateway_.counters_.failed;
-  Finish(std::move(response), reason);
+  Finish(HttpResponse::Of(status), reason);
 }
 
 void ForwardedRequest::OnDeadline() {
@@ -341,7 +323,7 @@
     Reject("deadline passed before it was sent");
     return;
   }
-  Fail(kGatewayTimeout, "deadline passed");
+  Fail(kStatusGatewayTimeout, "deadline passed");
 }
 
 void ForwardedRequest::OnAbandoned() {
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "heathergate/http_exchange.h"
+#include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/traffic_config.h"
 #include "libheathergate/forwarded_request.h"
@@ -16,8 +17,6 @@
 using heatherlever::Duration;
 using heathernet::EventLoop;
 
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 // Waiting requests that are tried when a server has room.
 constexpr std::size_t kTriedOnRoom = 8;
 // Pause between tries of waiting requests while no answer comes.
@@ -29,12 +28,6 @@
   return client;
 }
 
-HttpResponse PlainResponse(int status) {
-  HttpResponse response;
-  response.status = status;
-  return response;
-}
-
 }  // namespace
 
 Gateway::Gateway(EventLoop& loop, GatewayOptions options)
@@ -52,7 +45,7 @@
   if (config_ == nullptr) {
     ++counters_.rejected;
     spdlog::info("request rejected: no configuration is known yet");
-    exchange->Respond(PlainResponse(kUnavailable));
+    exchange->Respond(HttpResponse::Of(kStatusUnavailable));
     return;
   }
   const HttpHead& head = exchange->head();
@@ -63,12 +56,11 @@
     ++counters_.unrouted;
     spdlog::info("no route for host '{}', target '{}', configuration {}",
                  host == nullptr ? "" : *host, head.target, config_->version);
-    exchange->Respond(PlainResponse(kNotFound));
+    exchange->Respond(HttpResponse::Of(kStatusNotFound));
     return;
   }
-  const std::string* key = head.Find(options_.names.affinity_key);
   const std::string& service =
-      split_.Choose(*route, key == nullptr ? std::string() : *key);
+      split_.Choose(*route, head.Value(options_.names.affinity_key));
   const auto request = std::make_shared<ForwardedRequest>(
       *this, loop_, exchange, config_, *route, config_->services.at(service));
   Retain(request);
--- a/src/libheathergate/http_head.cc
+++ b/src/libheathergate/http_head.cc
@@ -52,6 +52,11 @@
   return nullptr;
 }
 
+std::string HttpHead::Value(std::string_view name) const {
+  const std::string* value = Find(name);
+  return value == nullptr ? std::string() : *value;
+}
+
 bool IsConnectionField(std::string_view name, const std::string* connection) {
   const auto same = [&](std::string_view known) {
     return SameName(name, known);
--- a/src/libheathergate/http_response.cc
+++ b/src/libheathergate/http_response.cc
@@ -1,5 +1,7 @@
 #include "heathergate/http_response.h"
 
+#include "heathergate/http_status.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -8,24 +10,31 @@
 namespace {
 
 constexpr std::array<std::pair<int, const char*>, 14> kPhrases = {{
-    {200, "OK"},
-    {400, "Bad Request"},
-    {404, "Not Found"},
-    {408, "Request Timeout"},
-    {409, "Conflict"},
-    {410, "Gone"},
-    {413, "Payload Too Large"},
-    {421, "Misdirected Request"},
-    {429, "Too Many Requests"},
-    {431, "Request Header Fields Too Large"},
-    {500, "Internal Server Error"},
-    {502, "Bad Gateway"},
-    {503, "Service Unavailable"},
-    {504, "Gateway Timeout"},
+    {kStatusOk, "OK"},
+    {kStatusBadRequest, "Bad Request"},
+    {kStatusNotFound, "Not Found"},
+    {kStatusRequestTimeout, "Request Timeout"},
+    {kStatusConflict, "Conflict"},
+    {kStatusGone, "Gone"},
+    {kStatusPayloadTooLarge, "Payload Too Large"},
+    {kStatusMisdirected, "Misdirected Request"},
+    {kStatusTooManyRequests, "Too Many Requests"},
+    {kStatusHeadTooLarge, "Request Header Fields Too Large"},
+    {kStatusServerError, "Internal Server Error"},
+    {kStatusBadGateway, "Bad Gateway"},
+    {kStatusUnavailable, "Service Unavailable"},
+    {kStatusGatewayTimeout, "Gateway Timeout"},
 }};
 
 }  // namespace
 
+HttpResponse HttpResponse::Of(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
 const char* ReasonPhrase(int status) {
   const auto found =
       std::find_if(kPhrases.begin(), kPhrases.end(),
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -3,6 +3,7 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
 #include "libheathergate/socket_options.h"
 
@@ -21,9 +22,7 @@
 constexpr Duration kClientAckTimeout = std::chrono::seconds(5);
 
 bool HasBody(int status) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return status != kNoContent && status != kNotModified;
+  return status != kStatusNoContent && status != kStatusNotModified;
 }
 
 }  // namespace
@@ -68,8 +67,7 @@
     return;
   }
   if (exchange_ == nullptr && !writing_) {
-    constexpr int kRequestTimeout = 408;
-    Reject(kRequestTimeout);
+    Reject(kStatusRequestTimeout);
   }
 }
 
@@ -116,20 +114,19 @@
       Dispatch();
       return;
     case ReadStatus::kMalformed:
-      Reject(400);
+      Reject(kStatusBadRequest);
       return;
     case ReadStatus::kHeadTooLarge:
-      Reject(431);
+      Reject(kStatusHeadTooLarge);
       return;
     case ReadStatus::kBodyTooLarge:
-      Reject(413);
+      Reject(kStatusPayloadTooLarge);
       return;
     case ReadStatus::kNeedMore:
       break;
   }
   if (!CountBuffered(reader_.body().size())) {
-    constexpr int kUnavailable = 503;
-    Reject(kUnavailable);
+    Reject(kStatusUnavailable);
     return;
   }
   if (first) {
@@ -171,8 +168,7 @@
 }
 
 void HttpSession::Reject(int status) {
-  HttpResponse response;
-  response.status = status;
+  HttpResponse response = HttpResponse::Of(status);
   response.close = true;
   Write(response);
 }
--- a/src/libheatherlever/deployment_loader.cc
+++ b/src/libheatherlever/deployment_loader.cc
@@ -45,22 +45,13 @@
   return text;
 }
 
-// The mapping's name, which no earlier one of its list may have.
-std::string UniqueName(YamlMap& map, std::set<std::string>& taken) {
-  std::string name = map.Text("name");
-  if (!taken.insert(name).second) {
-    map.Fail("name", "the name '" + name + "' is taken by an earlier one");
-  }
-  return name;
-}
-
 std::vector<RegionSpec> ReadRegions(YamlMap& top) {
   std::vector<RegionSpec> regions;
   std::set<std::string> names;
   std::set<std::string> domains;
   for (YamlMap& map : top.Maps("regions", "region")) {
     RegionSpec region;
-    region.name = UniqueName(map, names);
+    region.name = map.UniqueText("name", names);
     region.domains = map.Texts("domains");
     region.labels = map.LabelsOr("labels");
     for (const std::string& domain : region.domains) {
@@ -102,7 +93,7 @@
   std::set<std::string> names;
   for (YamlMap& map : top.Maps("kinds", "kind of work")) {
     KindSpec kind;
-    kind.name = UniqueName(map, names);
+    kind.name = map.UniqueText("name", names);
     kind.labels = map.LabelsOr("labels");
     kind.service = map.Text("service");
     kind.rank = *RankFromName(OneOf(map, "rank", "rank", RankWords()));
@@ -137,7 +128,7 @@
                       std::set<std::string>& names,
                       std::vector<BackendSpec>& backends) {
   BackendSpec backend;
-  const std::string name = UniqueName(map, names);
+  const std::string name = map.UniqueText("name", names);
   backend.labels = map.LabelsOr("labels");
   backend.service = map.Text("service");
   backend.region = OneOf(map, "region", "region", NamesOf(spec.regions));
@@ -175,7 +166,7 @@
   std::set<std::string> names;
   for (YamlMap& map : top.Maps("rules", "rule")) {
     RuleSpec rule;
-    rule.name = UniqueName(map, names);
+    rule.name = map.UniqueText("name", names);
     rule.work = map.TextOr("work", "");
     rule.to = map.TextOr("to", "");
     rule.max_shift = map.Share("max_shift");
@@ -190,7 +181,7 @@
   std::set<std::string> names;
   for (YamlMap& map : top.Maps("drains", "drain")) {
     DrainSpec drain;
-    drain.name = UniqueName(map, names);
+    drain.name = map.UniqueText("name", names);
     drain.select = map.Text("select");
     drain.start_unix_s = map.NumberOr(
         "start_unix_s", 0, std::numeric_limits<std::int64_t>::max(), 0);
--- a/src/libheatherlever/yaml_map.cc
+++ b/src/libheatherlever/yaml_map.cc
@@ -104,6 +104,15 @@
   return text;
 }
 
+std::string YamlMap::UniqueText(const std::string& key,
+                                std::set<std::string>& taken) {
+  std::string text = Text(key);
+  if (!taken.insert(text).second) {
+    Fail(key, "the " + key + " '" + text + "' is taken by an earlier one");
+  }
+  return text;
+}
+
 std::string YamlMap::TextOr(const std::string& key,
                             const std::string& fallback) {
   return Has(key) ? Scalar(Find(key), key) : fallback;
--- a/src/libheatherlever/yaml_map.h
+++ b/src/libheatherlever/yaml_map.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
   bool Has(const std::string& key);
 
   std::string Text(const std::string& key);
+  /// A text that no earlier mapping of a list has; `taken` holds those so far.
+  std::string UniqueText(const std::string& key, std::set<std::string>& taken);
   std::string TextOr(const std::string& key, const std::string& fallback);
   bool FlagOr(const std::string& key, bool fallback);
 
--- a/src/libheathersteer/route_table.cc
+++ b/src/libheathersteer/route_table.cc
@@ -20,16 +20,16 @@
   return name;
 }
 
-std::string_view Path(std::string_view target) {
-  return target.substr(0, target.find_first_of("?#"));
-}
-
 bool LongerPrefix(const Route* a, const Route* b) {
   return a->prefix.size() > b->prefix.size();
 }
 
 }  // namespace
 
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find_first_of("?#"));
+}
+
 RouteTable::RouteTable(const TrafficConfig& config) {
   for (const Route& route : config.routes) {
     by_host_[HostName(route.host)].push_back(&route);
@@ -45,7 +45,7 @@
   if (found == by_host_.end()) {
     return nullptr;
   }
-  const std::string_view path = Path(target);
+  const std::string_view path = PathOf(target);
   for (const Route* route : found->second) {
     if (path.starts_with(route->prefix)) {
       return route;
--- a/src/libheathersteer/steering_rules.cc
+++ b/src/libheathersteer/steering_rules.cc
@@ -1,10 +1,10 @@
 #include "heathersteer/steering_rules.h"
 
 #include <algorithm>
-#include <array>
 #include <set>
 #include <utility>
 
+#include "heatherlever/rank.h"
 #include "heatherlever/settings_error.h"
 #include "heathersteer/backend_server.h"
 #include "heathersteer/route.h"
@@ -23,17 +23,6 @@
 // Windows over which shares of shifted requests are counted.
 constexpr Duration kCapWindow = std::chrono::seconds(10);
 
-// Names of ranks in selectors; all beyond the last are as the last.
-constexpr std::array<const char*, 3> kRankNames = {"first", "second", "third"};
-
-std::string UniqueName(YamlMap& map, std::set<std::string>& names) {
-  std::string name = map.Text("name");
-  if (!names.insert(name).second) {
-    map.Fail("name", "the name '" + name + "' is there twice");
-  }
-  return name;
-}
-
 Selector ReadSelector(YamlMap& map, const std::string& key) {
   auto selector = Selector::Parse(map.TextOr(key, ""));
   if (!selector.ok()) {
@@ -43,13 +32,14 @@
 }
 
 Labels LabelsOfWork(const Route& route, const std::string& service) {
-  const auto rank =
-      std::clamp<std::size_t>(static_cast<std::size_t>(std::max(0, route.rank)),
-                              0, kRankNames.size() - 1);
+  // All ranks beyond the last named one count as that one.
+  const std::size_t rank =
+      std::min(static_cast<std::size_t>(std::max(0, route.rank)),
+               heatherlever::kRankCount - 1);
   return {{"name", route.name},
           {"host", route.host},
           {"service", service},
-          {"rank", kRankNames[rank]},
+          {"rank", std::string(heatherlever::kRankNames[rank])},
           {"idempotent", route.idempotent ? "yes" : "no"}};
 }
 
@@ -78,13 +68,13 @@
   SteeringRules result;
   std::set<std::string> names;
   for (YamlMap& map : top.Maps("regions", "region")) {
-    const std::string name = UniqueName(map, names);
+    const std::string name = map.UniqueText("name", names);
     result.region_labels_[name] = map.LabelsOr("labels");
     map.Finish();
   }
   names.clear();
   for (YamlMap& map : top.Maps("rules", "rule")) {
-    std::string name = UniqueName(map, names);
+    std::string name = map.UniqueText("name", names);
     Selector work = ReadSelector(map, "work");
     Selector to = ReadSelector(map, "to");
     const double share = map.Share("max_shift");
@@ -94,7 +84,7 @@
   }
   names.clear();
   for (YamlMap& map : top.Maps("drains", "drain")) {
-    UniqueName(map, names);
+    map.UniqueText("name", names);
     Selector select = ReadSelector(map, "select");
     if (select.empty()) {
       map.Fail("select", "a drain has to say what it drains");
--- a/src/libheathersteer/steering_rules_test.cc
+++ b/src/libheathersteer/steering_rules_test.cc
@@ -90,7 +90,7 @@
        "label 'x' is given twice"},
       {"drains:\n  - {name: a}", "drain"},
       {"rules:\n  - {name: a, max_shift: 1%}\n  - {name: a, max_shift: 1%}",
-       "twice"},
+       "the name 'a' is taken by an earlier one"},
   };
   for (const auto& [text, problem] : bad) {
     const auto rules = SteeringRules::Parse(text, "steering.yaml");
--- a/testsuite/process/configuration_page_test.py
+++ b/testsuite/process/configuration_page_test.py
@@ -16,7 +16,7 @@
     "Experiment": ["src/heather-load/experiment.cc"],
 }
 
-READS = "Text|TextOr|FlagOr|Number|NumberOr|Time|TimeOr|Share|ShareOr|MegabitRate|Address|Texts|LabelsOr|Maps|MapOr"
+READS = "Text|UniqueText|TextOr|FlagOr|Number|NumberOr|Time|TimeOr|Share|ShareOr|MegabitRate|Address|Texts|LabelsOr|Maps|MapOr"
 METHOD = re.compile(r'\.(?:%s)\(\s*"(\w+)"' % READS)
 # Helpers of the loaders that take the mapping and a key, such as OneOf(map, "rank", ...).
 HELPER = re.compile(r'\b(?:OneOf|Port|ReadSelector)\(\s*\w+,\s*"(\w+)"')
