Keep requests for a host's first configuration instead of rejecting them

Change: requests wait up to 250 ms for the first configuration and backend server (EarlyRequests, bounded in number); those that expire are told when to come back. A host reads the store at once when it starts instead of after its registration, and stops before the next read if it follows another host by then.

--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -13,6 +13,7 @@
 #include "heathergate/http_client.h"
 #include "heathergate/latency_histogram.h"
 #include "heathergate/timer.h"
+#include "heatherlever/instant.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
 #include "heathersteer/route_table.h"
@@ -31,8 +32,10 @@
 
 namespace heathergate {
 
+class EarlyRequests;
 class ForwardedRequest;
 class HttpExchange;
+struct HttpResponse;
 
 /// Forwards clients' requests to backend servers by the configuration in force.
 class Gateway {
@@ -59,7 +62,8 @@
   heathersteer::ServerTable& servers() { return servers_; }
   const heathersteer::ServerTable& servers() const { return servers_; }
 
-  /// Places waiting requests anew, after servers or drains changed.
+  /// Takes up requests that wait for this host's start, and places waiting
+  /// requests anew; after servers or drains changed.
   void RetryWaiting();
 
   /// nullptr before the first configuration.
@@ -78,6 +82,10 @@
  private:
   friend class ForwardedRequest;
 
+  void Forward(const std::shared_ptr<HttpExchange>& exchange);
+  void TakeUpEarly();
+  void RejectEarly(const std::shared_ptr<HttpExchange>& exchange);
+  HttpResponse Rejection(heatherlever::Duration time_left);
   heathersteer::RetryBudget& Budget(const std::string& service);
   void Retain(const std::shared_ptr<ForwardedRequest>& request);
   void Release(ForwardedRequest* request);
@@ -105,6 +113,9 @@
   GatewayCounters counters_;
   std::map<int, LatencyHistogram> latencies_;
   std::mt19937_64 random_;
+  std::unique_ptr<EarlyRequests> early_;
+  // Whether a configuration and a backend server have been known.
+  bool informed_ = false;
   Timer tick_;
   bool ticking_ = false;
   int hosts_ = 1;
--- a/src/include/heathergate/gateway_options.h
+++ b/src/include/heathergate/gateway_options.h
@@ -14,6 +14,10 @@
   HeaderNames names;
   heathersteer::PlacementOptions placement;
   heathersteer::RetryBudgetOptions retries;
+  /// Longest time for which requests wait at a host that has just started for
+  /// the first configuration and backend server. Both take some round trips
+  /// to the platform's store.
+  heatherlever::Duration longest_start = std::chrono::milliseconds(250);
   /// Seed of the spread of Retry-After.
   std::uint64_t seed = 0;
 };
--- a/src/include/heathersteer/rejection.h
+++ b/src/include/heathersteer/rejection.h
@@ -15,8 +15,7 @@
 /// When a rejected client should come back, at the latest after a third of the
 /// time it has left. `random` in [0, 1) spreads the clients of one burst, so
 /// that they do not come back together.
-heatherlever::Duration RetryAfter(const Route& route,
-                                  heatherlever::Duration time_left,
+heatherlever::Duration RetryAfter(heatherlever::Duration time_left,
                                   double random);
 
 }  // namespace heathersteer
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -106,6 +106,9 @@
 
 void FleetAgent::Start() {
   started_at_ = EventLoop::Now();
+  // Clients may be waiting already: the registration and the choice of a host
+  // to follow take several round trips, the first reads one.
+  EnsureReading();
   Register();
   Tick();
 }
@@ -339,11 +342,12 @@
                    heathersteer::Milliseconds(asked_at - servers_.known_at()),
                    servers.status().ToString());
     }
-    if (!ShouldRead()) {
-      reading_servers_ = false;
-      return;
-    }
-    servers_timer_.Start(ServersPause(servers.ok()), [this] { ReadServers(); });
+    servers_timer_.Start(ServersPause(servers.ok()), [this] {
+      reading_servers_ = ShouldRead();
+      if (reading_servers_) {
+        ReadServers();
+      }
+    });
   });
 }
 
@@ -372,14 +376,15 @@
       spdlog::warn("operator's state not read, version {} stays: {}",
                    operator_.version, state.status().ToString());
     }
-    if (!ShouldRead()) {
-      reading_operator_ = false;
-      return;
-    }
     const Duration pause = !state.ok() ? kRetryPause
                            : changed   ? kOperatorPause
                                        : Duration(0);
-    operator_timer_.Start(pause, [this] { ReadOperator(); });
+    operator_timer_.Start(pause, [this] {
+      reading_operator_ = ShouldRead();
+      if (reading_operator_) {
+        ReadOperator();
+      }
+    });
   });
 }
 
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -3,8 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cstdio>
 #include <utility>
 
 #include "heathergate/gateway.h"
@@ -15,6 +13,7 @@
 #include "heathersteer/rejection.h"
 #include "heathersteer/steering_rules.h"
 #include "libheathergate/load_report.h"
+#include "libheathergate/time_left.h"
 
 namespace heathergate {
 namespace {
@@ -39,19 +38,6 @@
          status == kStatusMisdirected || status == kStatusRequestTimeout;
 }
 
-// The time left that the client states; `otherwise` if it states none.
-Duration StatedTimeLeft(const std::string& text, Duration otherwise) {
-  double ms = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), ms);
-  if (text.empty() || error != std::errc() ||
-      end != text.data() + text.size() || ms < 0) {
-    return otherwise;
-  }
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(std::min(ms, 1e9)));
-}
-
 }  // namespace
 
 ForwardedRequest::ForwardedRequest(
@@ -74,8 +60,8 @@
   id_ = exchange_->head().Value(names.request_id);
   affinity_key_ = exchange_->head().Value(names.affinity_key);
   const Instant now = exchange_->received();
-  const Duration left =
-      StatedTimeLeft(exchange_->head().Value(names.time_left), route_.timeout);
+  const Duration left = ParseTimeLeft(exchange_->head().Value(names.time_left))
+                            .value_or(route_.timeout);
   client_deadline_ = now + left;
   deadline_ = now + std::min(left, route_.timeout);
 }
@@ -300,16 +286,7 @@
 }
 
 void ForwardedRequest::Reject(const char* reason) {
-  const Duration left = client_deadline_ - EventLoop::Now();
-  const Duration pause =
-      heathersteer::RetryAfter(route_, left, gateway_.Random());
-  char seconds[32];
-  std::snprintf(seconds, sizeof(seconds), "%.3f",
-                static_cast<double>(pause.count()) / 1e6);
-  HttpResponse response = HttpResponse::Of(kStatusUnavailable);
-  response.fields.push_back({"Retry-After", seconds});
-  ++gateway_.counters_.rejected;
-  Finish(std::move(response), reason);
+  Finish(gateway_.Rejection(client_deadline_ - EventLoop::Now()), reason);
 }
 
 void ForwardedRequest::Fail(int status, const char* reason) {
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -8,8 +8,11 @@
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
+#include "heathersteer/rejection.h"
 #include "heathersteer/traffic_config.h"
+#include "libheathergate/early_requests.h"
 #include "libheathergate/forwarded_request.h"
+#include "libheathergate/time_left.h"
 
 namespace heathergate {
 namespace {
@@ -36,18 +39,26 @@
       client_(loop, ClientOptions(options_)),
       placement_(options_.placement),
       random_(options_.seed),
+      early_(std::make_unique<EarlyRequests>(
+          loop,
+          options_.longest_start,
+          [this](const std::shared_ptr<HttpExchange>& exchange) {
+            RejectEarly(exchange);
+          })),
       tick_(loop) {}
 
 Gateway::~Gateway() = default;
 
 void Gateway::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   ++counters_.requests;
-  if (config_ == nullptr) {
-    ++counters_.rejected;
-    spdlog::info("request rejected: no configuration is known yet");
-    exchange->Respond(HttpResponse::Of(kStatusUnavailable));
-    return;
+  if (informed_) {
+    Forward(exchange);
+  } else {
+    early_->Keep(exchange);
   }
+}
+
+void Gateway::Forward(const std::shared_ptr<HttpExchange>& exchange) {
   const HttpHead& head = exchange->head();
   const std::string* host = head.Find("Host");
   const heathersteer::Route* route =
@@ -77,6 +88,49 @@
                config_ == nullptr ? 0 : config_->version);
   config_ = std::move(config);
   routes_ = std::make_shared<heathersteer::RouteTable>(*config_);
+  TakeUpEarly();
+}
+
+void Gateway::TakeUpEarly() {
+  if (informed_ || config_ == nullptr || servers_.size() == 0) {
+    return;
+  }
+  informed_ = true;
+  const auto exchanges = early_->TakeAll();
+  spdlog::info("{} requests waited for the start", exchanges.size());
+  for (const auto& exchange : exchanges) {
+    if (!exchange->done()) {
+      Forward(exchange);
+    }
+  }
+}
+
+void Gateway::RejectEarly(const std::shared_ptr<HttpExchange>& exchange) {
+  if (exchange->done()) {
+    return;
+  }
+  if (config_ != nullptr) {
+    // No server is known. The route tells what the client may expect.
+    Forward(exchange);
+    return;
+  }
+  const HttpHead& head = exchange->head();
+  spdlog::info(
+      "request id={} status={} reason=\"no configuration is known yet\"",
+      head.Value(options_.names.request_id), kStatusUnavailable);
+  const Duration left = ParseTimeLeft(head.Value(options_.names.time_left))
+                            .value_or(options_.longest_start);
+  exchange->Respond(Rejection(left));
+}
+
+HttpResponse Gateway::Rejection(Duration time_left) {
+  const Duration pause = heathersteer::RetryAfter(time_left, Random());
+  HttpResponse response = HttpResponse::Of(kStatusUnavailable);
+  response.fields.push_back(
+      {"Retry-After",
+       fmt::format("{:.3f}", std::chrono::duration<double>(pause).count())});
+  ++counters_.rejected;
+  return response;
 }
 
 void Gateway::SetHosts(int hosts) {
@@ -152,6 +206,7 @@
   if (config_ == nullptr) {
     return;
   }
+  TakeUpEarly();
   for (const auto& [name, service] : config_->services) {
     OnRoom(name);
   }
--- a/src/libheathersteer/rejection.cc
+++ b/src/libheathersteer/rejection.cc
@@ -24,7 +24,7 @@
   return route.target_latency / kHoldDivisor;
 }
 
-Duration RetryAfter(const Route&, Duration time_left, double random) {
+Duration RetryAfter(Duration time_left, double random) {
   const Duration most = std::max(kShortest, time_left / kTimeLeftDivisor);
   const auto spread = static_cast<double>((most - kShortest).count()) * random;
   return kShortest + Duration(static_cast<std::int64_t>(spread));
