Ask other hosts while the own news are old

Change: while a host's news are older than 1.4 s it asks other hosts in turn, of its own domain, its region and the others, for what is newer (PeerInquiry, POST /news). Answers hold only what the asking host lacks. It replaces the question to a seed of a host that starts in an outage: seeds are among the peers. Every host reads the registrations a second time, two seconds after its start.

Ruled out: telling a cut from an outage by the versions of the store's rows (a store that is down for some hosts and servers looks like both); passing over a host with old news (in an outage all of a domain would leave their relay, and with it the directory's knowledge of them).

Two gateway tests failed on the code before (test_hosts_that_the_store_refuses_learn_from_one_that_it_serves, test_a_host_that_is_cut_off_learns_that_a_server_has_gone) and pass now. The harness waits for a log line with one limit for the whole wait: lines that go on coming had let it wait for ever.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -23,6 +23,7 @@
 
 namespace heathergate {
 
+class PeerInquiry;
 struct RelayAnswer;
 struct RelayQuestion;
 
@@ -47,8 +48,9 @@
              FleetListener listener);
   ~FleetAgent();
 
-  /// Hosts to ask when this one starts while the store is away.
-  void set_seeds(std::vector<HttpPeer> seeds) { seeds_ = std::move(seeds); }
+  /// Hosts to ask, besides the registered ones, while this one can't get news
+  /// otherwise.
+  void SetSeeds(std::vector<HttpPeer> seeds);
 
   void Start();
 
@@ -84,8 +86,11 @@
   void OnServersChanged();
   void OnOperator(const heathersteer::OperatorState& state);
   void CancelAsk();
-  void AskSeed();
-  void OnSeedAnswer(const CallResult& result);
+  bool NewsAreOld() const;
+  std::string MakeInquiry() const;
+  void OnInquiry(const std::shared_ptr<HttpExchange>& exchange);
+  void OnPeerNews(const RelayAnswer& answer);
+  void SetPeers(const std::vector<heathersteer::HostRecord>& hosts);
   bool HasNews(const RelayQuestion& question) const;
   void AnswerHeld();
   void AnswerAllHeld();
@@ -99,6 +104,7 @@
   heathersteer::ServerList servers_;
   heathersteer::OperatorState operator_;
   HttpClient client_;
+  std::unique_ptr<PeerInquiry> inquiry_;
   HttpServer server_;
   Timer register_timer_;
   Timer hosts_timer_;
@@ -109,7 +115,6 @@
   Timer tick_timer_;
   std::list<HeldQuestion> held_;
   std::vector<HttpPeer> seeds_;
-  std::size_t next_seed_ = 0;
   std::shared_ptr<HttpCall> ask_;
   // Distinguishes this life's sequence numbers from those of earlier ones.
   std::string instance_;
@@ -127,6 +132,8 @@
   heatherlever::Instant started_at_{0};
   int host_count_ = 1;
   bool registered_ = false;
+  // Whether the store failed before this host knew anything.
+  bool start_failed_ = false;
   bool hosts_known_ = false;
   bool reading_servers_ = false;
   bool reading_operator_ = false;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/milliseconds.h"
+#include "libheathergate/peer_inquiry.h"
 #include "libheathergate/relay_codec.h"
 
 namespace heathergate {
@@ -43,15 +45,16 @@
 constexpr Duration kAnswerSlack = std::chrono::milliseconds(300);
 // Pause before the next host is asked after a failure.
 constexpr Duration kFollowPause = std::chrono::milliseconds(20);
-// Age of the followed host's news from which on this host reads for itself.
+// Age of the news from which on this host reads for itself and asks its peers:
+// the host that it follows may be cut off or refused, and so may this one.
 constexpr Duration kStale = std::chrono::milliseconds(1400);
 // Lateness of timers that a planned read allows for.
 constexpr Duration kTimerSlack = std::chrono::milliseconds(5);
 constexpr Duration kTick = std::chrono::milliseconds(150);
 
 constexpr const char* kRelayPath = "/relay";
-// Stands for the registration of a host that has none yet: it may follow all.
-constexpr std::uint64_t kNotRegistered = UINT64_MAX;
+// Difference of age from which on a list of servers is sent to a peer.
+constexpr Duration kLeastGain = std::chrono::milliseconds(200);
 
 HttpClientOptions ClientOptions() {
   HttpClientOptions options;
@@ -87,6 +90,10 @@
       listener_(std::move(listener)),
       order_(self),
       client_(loop, ClientOptions()),
+      inquiry_(std::make_unique<PeerInquiry>(
+          loop,
+          [this] { return MakeInquiry(); },
+          [this](const RelayAnswer& answer) { OnPeerNews(answer); })),
       server_(loop,
               self.relay_address,
               self.relay_port,
@@ -119,7 +126,7 @@
       spdlog::warn("registration failed: {}", joined.status().ToString());
       // The configuration may be readable all the same.
       EnsureReading();
-      AskSeed();
+      start_failed_ = true;
       register_timer_.Start(kRetryPause, [this] { Register(); });
       return;
     }
@@ -137,67 +144,110 @@
   }
 }
 
-void FleetAgent::AskSeed() {
-  if (seeds_.empty() || ask_ != nullptr || operator_sequence_ != 0) {
+bool FleetAgent::NewsAreOld() const {
+  const bool nothing_known = operator_sequence_ == 0 && start_failed_;
+  const Instant known_at = std::max(servers_.known_at(), started_at_);
+  return nothing_known || EventLoop::Now() - known_at > kStale;
+}
+
+std::string FleetAgent::MakeInquiry() const {
+  return EncodeInquiry({.list_age = EventLoop::Now() - servers_.known_at(),
+                        .operator_version = operator_.version});
+}
+
+void FleetAgent::OnInquiry(const std::shared_ptr<HttpExchange>& exchange) {
+  const auto inquiry = DecodeInquiry(exchange->body());
+  if (!inquiry) {
+    exchange->Respond(HttpResponse::Of(kStatusBadRequest));
     return;
   }
-  const HttpPeer& seed = seeds_[next_seed_++ % seeds_.size()];
-  spdlog::info("the store is away: asking seed {}:{}", seed.address, seed.port);
-  RelayQuestion question;
-  question.name = order_.self().name;
-  question.front = order_.self().front;
-  question.joined = kNotRegistered;
-  const std::string body = EncodeQuestion(question);
-  ask_timer_.Start(kHold + kAnswerSlack, [this] { CancelAsk(); });
-  ask_ = client_.Send(seed, QuestionHead(seed.name, body.size()), body, "",
-                      [this](const CallResult& result) {
-                        ask_timer_.Cancel();
-                        ask_ = nullptr;
-                        OnSeedAnswer(result);
-                      });
+  if (operator_sequence_ == 0 || servers_sequence_ == 0) {
+    exchange->Respond(HttpResponse::Of(kStatusUnavailable));
+    return;
+  }
+  const Instant now = EventLoop::Now();
+  RelayAnswer answer;
+  answer.instance = instance_;
+  answer.age = now - servers_.known_at();
+  if (answer.age + kLeastGain < inquiry->list_age) {
+    answer.servers = servers_.servers();
+  }
+  if (operator_.version > inquiry->operator_version) {
+    answer.operator_state = operator_;
+  }
+  exchange->Respond(HttpResponse::Of(kStatusOk, EncodeAnswer(answer, now)));
 }
 
-void FleetAgent::OnSeedAnswer(const CallResult& result) {
-  const auto answer = result.outcome == CallOutcome::kAnswered &&
-                              result.head.status == kStatusOk
-                          ? DecodeAnswer(result.body, EventLoop::Now())
-                          : std::nullopt;
-  if (!answer || !answer->operator_state || !answer->servers) {
-    spdlog::warn("the seed knows nothing: {}",
-                 result.error.empty() ? std::to_string(result.head.status)
-                                      : result.error);
-    return;
+void FleetAgent::OnPeerNews(const RelayAnswer& answer) {
+  if (answer.operator_state) {
+    OnOperator(*answer.operator_state);
   }
-  OnOperator(*answer->operator_state);
-  if (servers_.Mirror(*answer->servers, EventLoop::Now() - answer->age)) {
+  if (answer.servers &&
+      servers_.Mirror(*answer.servers, EventLoop::Now() - answer.age)) {
     OnServersChanged();
   }
 }
 
+void FleetAgent::SetSeeds(std::vector<HttpPeer> seeds) {
+  seeds_ = std::move(seeds);
+  SetPeers({});
+}
+
+void FleetAgent::SetPeers(const std::vector<HostRecord>& hosts) {
+  // A failure may take a whole domain or region: hosts of the own domain, of
+  // the own region and of other regions take turns.
+  std::array<std::vector<HttpPeer>, 3> groups;
+  const HostRecord& self = order_.self();
+  for (const HostRecord& host : hosts) {
+    if (host.name != self.name) {
+      const std::size_t group = host.domain == self.domain   ? 0
+                                : host.region == self.region ? 1
+                                                             : 2;
+      groups[group].push_back({host.name, host.relay_address, host.relay_port});
+    }
+  }
+  groups.back().insert(groups.back().end(), seeds_.begin(), seeds_.end());
+  std::vector<HttpPeer> peers;
+  for (std::size_t i = 0;; ++i) {
+    const std::size_t before = peers.size();
+    for (const auto& group : groups) {
+      if (i < group.size()) {
+        peers.push_back(group[i]);
+      }
+    }
+    if (peers.size() == before) {
+      break;
+    }
+  }
+  inquiry_->SetPeers(std::move(peers));
+}
+
 void FleetAgent::ReadHosts() {
   const bool first = !hosts_known_;
-  source_.ReadHosts(
-      [this, first](absl::StatusOr<std::vector<HostRecord>> hosts) {
-        if (!hosts.ok()) {
-          spdlog::warn("registrations not read: {}", hosts.status().ToString());
-          EnsureReading();
-          hosts_timer_.Start(kRetryPause, [this] { ReadHosts(); });
-          return;
-        }
-        hosts_known_ = true;
-        order_.SetHosts(*hosts);
-        host_count_ = std::max(1, static_cast<int>(hosts->size()));
-        listener_.on_host_count(host_count_);
-        if (first) {
-          Follow();
-        }
-        // Followers learn of others from the host that they follow.
-        hosts_timer_.Start(first ? kFirstHostsPause : kHostsPause, [this] {
-          if (following_.empty()) {
-            ReadHosts();
-          }
-        });
-      });
+  source_.ReadHosts([this,
+                     first](absl::StatusOr<std::vector<HostRecord>> hosts) {
+    if (!hosts.ok()) {
+      spdlog::warn("registrations not read: {}", hosts.status().ToString());
+      EnsureReading();
+      hosts_timer_.Start(kRetryPause, [this] { ReadHosts(); });
+      return;
+    }
+    hosts_known_ = true;
+    order_.SetHosts(*hosts);
+    SetPeers(*hosts);
+    host_count_ = std::max(1, static_cast<int>(hosts->size()));
+    spdlog::info("{} hosts are registered", host_count_);
+    listener_.on_host_count(host_count_);
+    if (first) {
+      Follow();
+    }
+    // Later on followers learn the hosts' number from the one they follow.
+    hosts_timer_.Start(first ? kFirstHostsPause : kHostsPause, [this, first] {
+      if (first || following_.empty()) {
+        ReadHosts();
+      }
+    });
+  });
 }
 
 void FleetAgent::Follow() {
@@ -223,7 +273,6 @@
 }
 
 void FleetAgent::Ask(const HostRecord& host) {
-  // A question to a seed may still be under way.
   CancelAsk();
   const bool same = !followed_instance_.empty();
   const RelayQuestion question{
@@ -307,8 +356,7 @@
 }
 
 bool FleetAgent::ShouldRead() const {
-  const Instant known_at = std::max(servers_.known_at(), started_at_);
-  return following_.empty() || EventLoop::Now() - known_at > kStale;
+  return following_.empty() || NewsAreOld();
 }
 
 void FleetAgent::EnsureReading() {
@@ -409,6 +457,10 @@
 }
 
 void FleetAgent::OnQuestion(const std::shared_ptr<HttpExchange>& exchange) {
+  if (exchange->head().target == PeerInquiry::kPath) {
+    OnInquiry(exchange);
+    return;
+  }
   const auto question = DecodeQuestion(exchange->body());
   if (exchange->head().target != kRelayPath || !question) {
     exchange->Respond(HttpResponse::Of(kStatusBadRequest));
@@ -512,6 +564,7 @@
   if (hosts_known_ && ShouldRead()) {
     EnsureReading();
   }
+  inquiry_->SetActive(NewsAreOld() && !leaving_);
   tick_timer_.Start(kTick, [this] { Tick(); });
 }
 
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -48,7 +48,6 @@
     const heathersteer::Route& route,
     const heathersteer::Service& service)
     : gateway_(gateway),
-      loop_(loop),
       exchange_(std::move(exchange)),
       config_(std::move(config)),
       route_(route),
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -59,7 +59,6 @@
   void Log(int status, const char* reason) const;
 
   Gateway& gateway_;
-  heathernet::EventLoop& loop_;
   std::shared_ptr<HttpExchange> exchange_;
   // Keeps route_ and service_ alive.
   std::shared_ptr<const heathersteer::TrafficConfig> config_;
--- /dev/null
+++ b/src/libheathergate/peer_inquiry.cc
@@ -0,0 +1,107 @@
+#include "libheathergate/peer_inquiry.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "heathergate/http_status.h"
+#include "heathernet/event_loop.h"
+#include "heathersteer/milliseconds.h"
+#include "libheathergate/relay_codec.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+using heathernet::EventLoop;
+
+// Pause between two questions.
+constexpr Duration kPause = std::chrono::milliseconds(200);
+// Longest time for an answer; peers answer at once, and regions are some tens
+// of milliseconds apart.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
+
+HttpClientOptions ClientOptions() {
+  HttpClientOptions options;
+  options.connect_timeout = std::chrono::milliseconds(250);
+  options.ack_timeout = kAnswerTimeout;
+  return options;
+}
+
+}  // namespace
+
+PeerInquiry::PeerInquiry(EventLoop& loop, Question question, News news)
+    : question_(std::move(question)),
+      news_(std::move(news)),
+      client_(loop, ClientOptions()),
+      timer_(loop) {}
+
+PeerInquiry::~PeerInquiry() {
+  SetActive(false);
+}
+
+void PeerInquiry::SetPeers(std::vector<HttpPeer> peers) {
+  peers_ = std::move(peers);
+}
+
+void PeerInquiry::SetActive(bool active) {
+  if (active == active_) {
+    return;
+  }
+  active_ = active;
+  if (active_) {
+    Ask();
+    return;
+  }
+  timer_.Cancel();
+  if (const auto call = std::exchange(call_, nullptr)) {
+    call->Cancel();
+  }
+}
+
+void PeerInquiry::Ask() {
+  if (peers_.empty()) {
+    AskLater();
+    return;
+  }
+  const HttpPeer& peer = peers_[next_++ % peers_.size()];
+  const std::string body = question_();
+  timer_.Start(kAnswerTimeout, [this] {
+    if (const auto call = std::exchange(call_, nullptr)) {
+      call->Cancel();
+    }
+    AskLater();
+  });
+  call_ = client_.Send(
+      peer,
+      std::string("POST ") + kPath + " HTTP/1.1\r\nHost: " + peer.name +
+          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n",
+      body, "", [this, name = peer.name](const CallResult& result) {
+        call_ = nullptr;
+        OnDone(name, result);
+      });
+}
+
+void PeerInquiry::OnDone(const std::string& peer, const CallResult& result) {
+  AskLater();
+  if (result.outcome != CallOutcome::kAnswered ||
+      result.head.status != kStatusOk) {
+    return;
+  }
+  const auto answer = DecodeAnswer(result.body, EventLoop::Now());
+  if (!answer) {
+    spdlog::warn("news of {} are unreadable", peer);
+    return;
+  }
+  if (answer->servers || answer->operator_state) {
+    spdlog::info("{} gave newer news, {} ms old", peer,
+                 heathersteer::Milliseconds(answer->age));
+    news_(*answer);
+  }
+}
+
+void PeerInquiry::AskLater() {
+  timer_.Start(kPause, [this] { Ask(); });
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathergate/peer_inquiry.h
@@ -0,0 +1,57 @@
+#ifndef LIBHEATHERGATE_PEER_INQUIRY_H_
+#define LIBHEATHERGATE_PEER_INQUIRY_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "heathergate/http_client.h"
+#include "heathergate/timer.h"
+
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
+namespace heathergate {
+
+struct RelayAnswer;
+
+/// Asks other hosts in turn for news that are newer than the own, while this
+/// host has no way to get them otherwise.
+class PeerInquiry {
+ public:
+  /// The body of the next question.
+  using Question = std::function<std::string()>;
+  using News = std::function<void(const RelayAnswer&)>;
+
+  static constexpr const char* kPath = "/news";
+
+  PeerInquiry(heathernet::EventLoop& loop, Question question, News news);
+  ~PeerInquiry();
+
+  /// The hosts to ask, in this order.
+  void SetPeers(std::vector<HttpPeer> peers);
+
+  /// Starts asking, or ends it.
+  void SetActive(bool active);
+
+ private:
+  void Ask();
+  void OnDone(const std::string& peer, const CallResult& result);
+  void AskLater();
+
+  Question question_;
+  News news_;
+  HttpClient client_;
+  Timer timer_;
+  std::vector<HttpPeer> peers_;
+  std::size_t next_ = 0;
+  std::shared_ptr<HttpCall> call_;
+  bool active_ = false;
+};
+
+}  // namespace heathergate
+
+#endif  // LIBHEATHERGATE_PEER_INQUIRY_H_
--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -141,4 +141,23 @@
   }
 }
 
+std::string EncodeInquiry(const NewsInquiry& inquiry) {
+  return json{{"list_age_us", inquiry.list_age.count()},
+              {"operator_version", inquiry.operator_version}}
+      .dump();
+}
+
+std::optional<NewsInquiry> DecodeInquiry(const std::string& text) {
+  try {
+    const json value = json::parse(text);
+    NewsInquiry inquiry;
+    inquiry.list_age = Duration(value.at("list_age_us").get<std::int64_t>());
+    inquiry.operator_version =
+        value.at("operator_version").get<std::uint64_t>();
+    return inquiry;
+  } catch (const json::exception&) {
+    return std::nullopt;  // The caller answers 400.
+  }
+}
+
 }  // namespace heathergate
--- a/src/libheathergate/relay_codec.h
+++ b/src/libheathergate/relay_codec.h
@@ -25,6 +25,14 @@
   std::uint64_t live_sequence = 0;
 };
 
+/// What a host that can't get news otherwise asks any other host.
+struct NewsInquiry {
+  /// Time since the asking host's list of servers was whole.
+  heatherlever::Duration list_age{0};
+  /// Version of the operator's state that it has.
+  std::uint64_t operator_version = 0;
+};
+
 /// The news of the host that is followed. Parts without news are absent.
 struct RelayAnswer {
   std::string instance;
@@ -50,6 +58,10 @@
 
 std::optional<RelayQuestion> DecodeQuestion(const std::string& text);
 
+std::string EncodeInquiry(const NewsInquiry& inquiry);
+
+std::optional<NewsInquiry> DecodeInquiry(const std::string& text);
+
 }  // namespace heathergate
 
 #endif  // LIBHEATHERGATE_RELAY_CODEC_H_
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -39,10 +39,19 @@
   EXPECT_FALSE(decoded->fronts);
 }
 
+TEST(RelayCodecTest, InquiriesKeepAgeAndVersion) {
+  const auto decoded = DecodeInquiry(
+      EncodeInquiry({.list_age = seconds(12), .operator_version = 60}));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->list_age, seconds(12));
+  EXPECT_EQ(decoded->operator_version, 60U);
+}
+
 TEST(RelayCodecTest, ForeignTextsAreNothing) {
   EXPECT_FALSE(DecodeAnswer("{\"instance\":1}", seconds(1)));
   EXPECT_FALSE(DecodeAnswer("{", seconds(1)));
   EXPECT_FALSE(DecodeQuestion("[]"));
+  EXPECT_FALSE(DecodeInquiry("{\"list_age_us\":\"1\"}"));
 }
 
 }  // namespace
--- a/testsuite/gateway/configuration_test.py
+++ b/testsuite/gateway/configuration_test.py
@@ -50,6 +50,38 @@
         self.store.down = False
         self.store.put("op", "config", config(2, moved=route(prefix="/y/")))
         host.await_log("configuration 2 in force")
+
+    def test_hosts_that_the_store_refuses_learn_from_one_that_it_serves(self):
+        self.backend("i-1")
+        door = self.store.door()
+        first = self.started_host("h1", store_port=door)
+        third = self.started_host("h3")
+        third.await_log("news come from h1")
+        second = self.started_host("h2", store_port=door)
+        second.await_log("news come from h1")
+        for host in (first, second):
+            host.await_log("3 hosts are registered")
+        self.store.refuse(door)
+        self.store.put("op", "config", config(2, moved=route(prefix="/y/")))
+        for host in (third, second, first):
+            host.await_log("configuration 2 in force")
+
+    def test_a_host_that_is_cut_off_learns_that_a_server_has_gone(self):
+        self.backend("i-1")
+        self.backend("i-2")
+        door = self.store.door()
+        first = self.started_host("h1", store_port=door)
+        first.await_log("backend server i-2 ")
+        second = self.started_host("h2")
+        second.await_log("news come from h1")
+        first.await_log("2 hosts are registered")
+        self.store.refuse(door)
+        self.store.delete("servers", "i-2")
+        second.await_log("backend server i-2 is no longer listed")
+        first.await_log("backend server i-2 is no longer listed")
+        for key in range(4):
+            self.assertEqual(first.request("/x/1", key=str(key))[2], b"from i-1")
+
     def test_a_host_that_starts_during_an_outage_learns_from_a_seed(self):
         self.backend("i-1")
         first = self.started_host("h1")
--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -9,6 +9,7 @@
 import subprocess
 import tempfile
 import threading
+import time
 import unittest
 
 from standins import DEADLINE, REQUEST_ID, Backend, Store
@@ -28,7 +29,7 @@
 class Host:
     """One process. `await_log(text)` returns once a line holds the text."""
 
-    def __init__(self, name, store, domain="d-a", address="127.0.0.1", seeds=(), bounds=None, rules=None):
+    def __init__(self, name, store_port, domain="d-a", address="127.0.0.1", seeds=(), bounds=None, rules=None):
         self.name = name
         self.front, self.ready, self.directory, self.control, self.internal, self.metrics = free_ports(6)
         self.settings = {
@@ -41,7 +42,7 @@
             "seeds": [f"{seed.settings['ip']}:{seed.control}" for seed in seeds],
             "internalPorts": [self.internal, self.internal],
             "bounds": {"grace": "6s", "ttl_max": "5s", "budgetRatio": 0.2, "budgetWindow": "10s", "budgetExtra": 100, **(bounds or {})},
-            "platform": {"address": f"127.0.0.1:{store.port}"},
+            "platform": {"address": f"127.0.0.1:{store_port}"},
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.write_settings()
@@ -69,9 +70,10 @@
         for line in self.history:
             if text in line:
                 return line
+        end = time.monotonic() + timeout_s
         while True:
             try:
-                line = self.lines.get(timeout=timeout_s)
+                line = self.lines.get(timeout=max(0, end - time.monotonic()))
             except queue.Empty:
                 raise AssertionError(f"{self.name} never wrote '{text}'; it wrote:\n{''.join(self.history)}") from None
             self.history.append(line)
@@ -147,8 +149,8 @@
         self.store.put("servers", name, backend.row(**row))
         return backend
 
-    def host(self, name="h1", **options):
-        host = Host(name, self.store, **options)
+    def host(self, name="h1", store_port=None, **options):
+        host = Host(name, store_port or self.store.port, **options)
         self.addCleanup(host.stop)
         return host
 
--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -17,7 +17,8 @@
 
 class Store:
     """The store's rows, spoken over HTTP as PROTOCOL.md says. `down` makes it
-    answer 503; `reads` counts reads by table."""
+    answer 503; `reads` counts reads by table. `door()` opens a further port
+    to the same rows, which can be refused by itself."""
 
     def __init__(self):
         self.condition = threading.Condition()
@@ -40,14 +41,34 @@
             def do_POST(self):
                 store.on_post(self)
 
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
-        self.port = self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.handler = Handler
+        self.servers = []
+        self.refused_ports = set()
+        self.port = self.door()
+
+    def door(self):
+        server = ThreadingHTTPServer(("127.0.0.1", 0), self.handler)
+        server.daemon_threads = True
+        self.servers.append(server)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server.server_address[1]
+
+    def refuse(self, port, refused=True):
+        """Answers 429 at a port; feeds that wait there end, too."""
+        with self.condition:
+            (self.refused_ports.add if refused else self.refused_ports.discard)(port)
+            self.condition.notify_all()
+
+    def refused(self, handler):
+        if handler.server.server_address[1] not in self.refused_ports:
+            return False
+        self.answer(handler, 429, {})
+        return True
 
     def close(self):
-        self.server.shutdown()
-        self.server.server_close()
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
 
     def put(self, table, key, value):
         with self.condition:
@@ -78,6 +99,8 @@
     def on_get(self, handler):
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
+        if self.refused(handler):
+            return
         if self.down:
             self.answer(handler, 503, {})
             return
@@ -87,7 +110,10 @@
             if url.path == "/heatherlever/rows-get":
                 rows = self.listed(query["table"], 0)
             else:
-                self.await_change(query["table"], int(query["after"]), int(query["waitMs"]) / 1000)
+                port = handler.server.server_address[1]
+                self.await_change(query["table"], int(query["after"]), int(query["waitMs"]) / 1000, port)
+                if self.refused(handler):
+                    return
                 rows = self.listed(query["table"], int(query["after"])) + self.gone(query["table"], int(query["after"]))
             body = {"rows": rows, "hasMore": False, "objectVersion": self.version, "now": "1ms"}
         self.answer(handler, 200, body)
@@ -106,9 +132,9 @@
             if of == table and version > after
         ]
 
-    def await_change(self, table, after, wait_s):
+    def await_change(self, table, after, wait_s, port):
         end = time.monotonic() + wait_s
-        while not self.listed(table, after) and not self.gone(table, after):
+        while port not in self.refused_ports and not self.listed(table, after) and not self.gone(table, after):
             left = end - time.monotonic()
             if left <= 0:
                 return
@@ -116,6 +142,8 @@
 
     def on_post(self, handler):
         body = json.loads(handler.rfile.read(int(handler.headers["Content-Length"])))
+        if self.refused(handler):
+            return
         if self.down:
             self.answer(handler, 503, {})
             return
