Add heather-simulate: load patterns against the gateway's decisions in virtual time

A pattern is a YAML file (examples/load): regions, services with slots, queues, warm objects and cold starts, kinds of work, and events. Callers, their retries and Retry-After, servers and delays are modelled; placement, limits, waiting, repeats, rejections and evidence are the gateway's own code. Baselines: random and least loaded. Output: table, JSON, SVG. Tests replay five patterns: more within the target than the baselines, cold rates summed over hosts, repeats within the budget of all hosts, regions that change step by step while demand moves, service after a restart of all hosts.

--- /dev/null
+++ b/src/heather-simulate/simulation.cc
@@ -0,0 +1,313 @@
+#include "heather-simulate/simulation.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "heather-simulate/event_queue.h"
+#include "heather-simulate/simulated_host.h"
+#include "heather-simulate/simulated_server.h"
+
+namespace heather_simulate {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+using heathersteer::BackendServer;
+
+// Callers wait this long before they come back after a failure.
+constexpr Duration kFailurePause = std::chrono::milliseconds(20);
+
+Duration Seconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+class Simulation {
+ public:
+  Simulation(const LoadPattern& pattern, ChooserKind chooser)
+      : pattern_(pattern), random_(pattern.seed) {
+    for (const PatternService& service : pattern_.services) {
+      AddFirstServers(service);
+    }
+    AddHosts(chooser);
+    PublishServers();
+  }
+
+  LoadOutcome Run() {
+    for (const PatternKind& kind : pattern_.kinds) {
+      for (const auto& [region, rate] : kind.rates) {
+        ScheduleArrival(kind, region, rate);
+      }
+    }
+    for (const PatternEvent& event : pattern_.events) {
+      events_.At(event.at, [this, &event] { Happen(event); });
+    }
+    Duration longest{0};
+    for (const PatternKind& kind : pattern_.kinds) {
+      longest = std::max(longest, kind.deadline);
+    }
+    events_.RunUntil(pattern_.duration + longest);
+    CollectCounts();
+    return std::move(outcome_);
+  }
+
+ private:
+  // A caller's request over all of its attempts.
+  struct Call {
+    const PatternKind& kind;
+    std::string region;
+    std::string object;
+    Instant began{0};
+    int attempts = 0;
+  };
+
+  const std::string& RegionOf(const std::string& domain) const {
+    for (const PatternRegion& region : pattern_.regions) {
+      const auto& domains = region.domains;
+      if (std::find(domains.begin(), domains.end(), domain) != domains.end()) {
+        return region.name;
+      }
+    }
+    return domain;
+  }
+
+  void AddServer(const PatternService& service,
+                 const std::string& domain,
+                 bool cold) {
+    BackendServer record;
+    record.id = service.name + "-" + std::to_string(servers_.size());
+    record.service = service.name;
+    record.region = RegionOf(domain);
+    record.domain = domain;
+    record.slots = service.slots;
+    const std::string id = record.id;
+    servers_[id] =
+        std::make_unique<SimulatedServer>(events_, service, std::move(record));
+    if (cold) {
+      servers_[id]->Start(cold);
+    }
+  }
+
+  void AddFirstServers(const PatternService& service) {
+    for (const auto& [domain, count] : service.servers) {
+      for (int i = 0; i < count; ++i) {
+        AddServer(service, domain, false);
+      }
+    }
+  }
+
+  void AddHosts(ChooserKind chooser) {
+    int count = 0;
+    for (const PatternRegion& region : pattern_.regions) {
+      count +=
+          static_cast<int>(region.domains.size()) * region.hosts_per_domain;
+    }
+    for (const PatternRegion& region : pattern_.regions) {
+      for (const std::string& domain : region.domains) {
+        for (int i = 0; i < region.hosts_per_domain; ++i) {
+          const std::string name = "host-" + std::to_string(hosts_.size());
+          hosts_.push_back(std::make_unique<SimulatedHost>(
+              events_, pattern_, HostPlace{name, region.name, domain}, count,
+              chooser, random_(),
+              [this](const std::string& id) { return servers_.at(id).get(); }));
+        }
+      }
+    }
+  }
+
+  void PublishServers() {
+    std::vector<BackendServer> records;
+    for (const auto& [id, server] : servers_) {
+      if (server->alive()) {
+        records.push_back(server->record());
+      }
+    }
+    for (const auto& host : hosts_) {
+      host->SetServers(records);
+    }
+  }
+
+  void PublishLater() {
+    events_.After(pattern_.news_delay, [this] { PublishServers(); });
+  }
+
+  double RateNow(const PatternKind& kind, double usual) const {
+    double rate = usual;
+    for (const PatternEvent& event : pattern_.events) {
+      const bool now =
+          events_.now() >= event.at && events_.now() < event.at + event.lasts;
+      if (event.kind == EventKind::kBurst && event.of == kind.name && now) {
+        constexpr double kPercent = 100;
+        rate *= event.percent / kPercent;
+      }
+    }
+    return rate;
+  }
+
+  void ScheduleArrival(const PatternKind& kind,
+                       const std::string& region,
+                       double rate) {
+    const double now_rate = RateNow(kind, rate);
+    if (now_rate <= 0) {
+      return;
+    }
+    std::exponential_distribution<double> gap(now_rate);
+    const Instant at = events_.now() + Seconds(gap(random_));
+    if (at >= pattern_.duration) {
+      return;
+    }
+    events_.At(at, [this, &kind, region, rate] {
+      std::uniform_int_distribution<int> object(0, kind.objects - 1);
+      Attempt(std::make_shared<Call>(
+          Call{kind, region, std::to_string(object(random_)), events_.now()}));
+      ScheduleArrival(kind, region, rate);
+    });
+  }
+
+  SimulatedHost& AnyHost(const std::string& region) {
+    std::vector<SimulatedHost*> near;
+    for (const auto& host : hosts_) {
+      if (host->place().region == region) {
+        near.push_back(host.get());
+      }
+    }
+    std::uniform_int_distribution<std::size_t> any(0, near.size() - 1);
+    return *near[any(random_)];
+  }
+
+  void Attempt(const std::shared_ptr<Call>& call) {
+    if (hosts_down_) {
+      OnEnd(call, AttemptEnd::kRejected, kFailurePause, "");
+      return;
+    }
+    ++call->attempts;
+    outcome_.attempts[call->kind.service].push_back(events_.now());
+    CallerAttempt attempt;
+    attempt.kind = &call->kind;
+    attempt.object = call->object;
+    attempt.deadline = call->began + call->kind.deadline;
+    attempt.done = [this, call](AttemptEnd end, Duration pause,
+                                const std::string& region) {
+      OnEnd(call, end, pause, region);
+    };
+    AnyHost(call->region).Handle(attempt);
+  }
+
+  void OnEnd(const std::shared_ptr<Call>& call,
+             AttemptEnd end,
+             Duration pause,
+             const std::string& region) {
+    const Instant now = events_.now();
+    const PatternKind& kind = call->kind;
+    if (end == AttemptEnd::kServed) {
+      outcome_.served.push_back({call->region, region, now});
+      Count(*call, now - call->began <= kind.target ? RequestEnd::kInTarget
+                                                    : RequestEnd::kLate);
+      return;
+    }
+    const bool may_repeat = end == AttemptEnd::kRejected || kind.idempotent;
+    const Duration wait = std::max(pause, kFailurePause);
+    const bool in_time = now + wait < call->began + kind.deadline;
+    if (may_repeat && in_time && call->attempts <= kind.retries) {
+      events_.After(wait, [this, call] { Attempt(call); });
+      return;
+    }
+    Count(*call, end == AttemptEnd::kRejected ? RequestEnd::kRejected
+                                              : RequestEnd::kFailed);
+  }
+
+  void Count(const Call& call, RequestEnd end) {
+    const auto window = static_cast<std::size_t>(call.began / pattern_.window);
+    outcome_.by_kind[call.kind.name][window].Add(end);
+  }
+
+  void Happen(const PatternEvent& event) {
+    using Handler = void (Simulation::*)(const PatternEvent&);
+    static const std::map<EventKind, Handler> handlers = {
+        {EventKind::kBurst, &Simulation::StartBurst},
+        {EventKind::kDomainLoss, &Simulation::LoseDomain},
+        {EventKind::kHostRestart, &Simulation::RestartHosts},
+        {EventKind::kScaleOut, &Simulation::AddEmptyServers},
+    };
+    (this->*handlers.at(event.kind))(event);
+  }
+
+  // The rate follows the event's time by itself.
+  void StartBurst(const PatternEvent&) {}
+
+  void LoseDomain(const PatternEvent& event) {
+    for (const auto& [id, server] : servers_) {
+      if (server->record().domain == event.of) {
+        server->Stop();
+      }
+    }
+    PublishLater();
+    events_.After(event.lasts, [this, &event] {
+      for (const auto& [id, server] : servers_) {
+        if (server->record().domain == event.of) {
+          server->Start(true);
+        }
+      }
+      PublishLater();
+    });
+  }
+
+  void RestartHosts(const PatternEvent& event) {
+    hosts_down_ = true;
+    for (const auto& host : hosts_) {
+      host->Restart();
+    }
+    events_.After(event.lasts, [this] {
+      hosts_down_ = false;
+      PublishServers();
+    });
+  }
+
+  void AddEmptyServers(const PatternEvent& event) {
+    for (const PatternService& service : pattern_.services) {
+      if (service.name != event.of) {
+        continue;
+      }
+      const auto largest = std::max_element(
+          service.servers.begin(), service.servers.end(),
+          [](const auto& a, const auto& b) { return a.second < b.second; });
+      for (int i = 0; i < event.count; ++i) {
+        AddServer(service, largest->first, true);
+      }
+    }
+    PublishLater();
+  }
+
+  void CollectCounts() {
+    for (const auto& host : hosts_) {
+      for (const auto& [service, instants] : host->repeats()) {
+        auto& all = outcome_.repeats[service];
+        all.insert(all.end(), instants.begin(), instants.end());
+      }
+    }
+    for (const auto& [id, server] : servers_) {
+      outcome_.cold_arrivals[id] = server->cold_arrivals();
+    }
+  }
+
+  const LoadPattern& pattern_;
+  std::mt19937_64 random_;
+  EventQueue events_;
+  std::map<std::string, std::unique_ptr<SimulatedServer>> servers_;
+  std::vector<std::unique_ptr<SimulatedHost>> hosts_;
+  bool hosts_down_ = false;
+  LoadOutcome outcome_;
+};
+
+}  // namespace
+
+LoadOutcome Simulate(const LoadPattern& pattern, ChooserKind chooser) {
+  return Simulation(pattern, chooser).Run();
+}
+
+}  // namespace heather_simulate
--- /dev/null
+++ b/src/heather-simulate/simulation_test.cc
@@ -0,0 +1,153 @@
+#include "heather-simulate/simulation.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fstream>
+#include <string>
+
+#include "heather-simulate/outcome_report.h"
+#include "heatherlever/settings_error.h"
+
+namespace heather_simulate {
+namespace {
+
+using std::chrono::seconds;
+
+// Bounds that the operators of the patterns' deployment state.
+constexpr double kMostShift = 0.15;
+constexpr double kColdFactor = 1.5;
+constexpr double kColdSlack = 5;
+constexpr auto kRecoveryTime = seconds(15);
+// Requests of a region in a span from which on shares are compared: below, the
+// change by chance alone comes near the bound.
+constexpr std::size_t kLeastCompared = 100;
+
+LoadPattern Pattern(const std::string& name) {
+  return ReadPattern(std::string(HEATHER_SOURCE_DIR) + "/examples/load/" +
+                     name + ".yaml");
+}
+
+class SimulationTest : public ::testing::TestWithParam<const char*> {};
+
+INSTANTIATE_TEST_SUITE_P(Patterns,
+                         SimulationTest,
+                         ::testing::Values("burst",
+                                           "cold-return",
+                                           "host-restart",
+                                           "rolling-wave",
+                                           "scale-out"),
+                         [](const auto& test) {
+                           std::string name = test.param;
+                           std::replace(name.begin(), name.end(), '-', '_');
+                           return name;
+                         });
+
+TEST_P(SimulationTest, PlacementServesMoreThanTheBaselines) {
+  const LoadPattern pattern = Pattern(GetParam());
+  const double placement =
+      Simulate(pattern, ChooserKind::kPlacement).Total().in_target_share();
+  for (const ChooserKind baseline :
+       {ChooserKind::kRandom, ChooserKind::kLeastLoaded}) {
+    EXPECT_GT(placement, Simulate(pattern, baseline).Total().in_target_share());
+  }
+}
+
+TEST_P(SimulationTest, ColdServersGetNoMoreThanTheyBear) {
+  const LoadPattern pattern = Pattern(GetParam());
+  const LoadOutcome outcome = Simulate(pattern, ChooserKind::kPlacement);
+  const double rate = pattern.services.front().cold_rate_per_s;
+  for (const auto& [server, arrivals] : outcome.cold_arrivals) {
+    EXPECT_LE(static_cast<double>(MostWithin(arrivals, seconds(1))),
+              rate * kColdFactor + kColdSlack)
+        << server;
+  }
+}
+
+TEST_P(SimulationTest, RepeatsStayWithinTheBudgetOfAllHosts) {
+  const LoadPattern pattern = Pattern(GetParam());
+  const LoadOutcome outcome = Simulate(pattern, ChooserKind::kPlacement);
+  constexpr auto kWindow = seconds(10);
+  for (const auto& [service, repeats] : outcome.repeats) {
+    // The bound counts the requests of the busiest window near the repeats;
+    // here the whole pattern's share of one window is taken, which is stricter.
+    const double requests =
+        static_cast<double>(outcome.attempts.at(service).size()) *
+        std::chrono::duration<double>(kWindow) /
+        std::chrono::duration<double>(pattern.duration);
+    EXPECT_LE(static_cast<double>(MostWithin(repeats, kWindow)),
+              pattern.retry_ratio * requests + pattern.retry_extra)
+        << service;
+  }
+}
+
+TEST_P(SimulationTest, EqualSeedsGiveEqualOutcomes) {
+  const LoadPattern pattern = Pattern(GetParam());
+  const auto play = [&] {
+    return FormatJson(
+        pattern, {{"placement", Simulate(pattern, ChooserKind::kPlacement)}});
+  };
+  EXPECT_EQ(play(), play());
+}
+
+// Demand moves between regions, and nothing fails: the region in which
+// requests run may change only step by step.
+TEST(SimulationShiftTest, RegionsChangeStepByStepWhileDemandMoves) {
+  LoadOutcome outcome =
+      Simulate(Pattern("rolling-wave"), ChooserKind::kPlacement);
+  // At first nothing is warm, and every region lacks room.
+  constexpr auto kWarmUp = seconds(4);
+  std::erase_if(outcome.served,
+                [&](const auto& each) { return each.at < kWarmUp; });
+  EXPECT_LE(LargestShift(outcome, seconds(2), kLeastCompared), kMostShift);
+}
+
+TEST(SimulationRecoveryTest, ServesAsBeforeAfterAllHostsHaveRestarted) {
+  const LoadPattern pattern = Pattern("host-restart");
+  const LoadOutcome outcome = Simulate(pattern, ChooserKind::kPlacement);
+  const PatternEvent& restart = pattern.events.front();
+  const auto back = restart.at + restart.lasts;
+  const auto windows = outcome.Windows();
+  const auto share_at = [&](heatherlever::Instant at) {
+    return windows.at(static_cast<std::size_t>(at / pattern.window))
+        .in_target_share();
+  };
+  const double before = share_at(restart.at - pattern.window);
+  // The pattern ends before the stated time: recovery has to be faster.
+  ASSERT_LT(pattern.duration - back, kRecoveryTime);
+  EXPECT_GE(share_at(pattern.duration - pattern.window), before / 4);
+}
+
+TEST(MostWithinTest, CountsTheBusiestSpan) {
+  EXPECT_EQ(MostWithin({}, seconds(1)), 0U);
+  EXPECT_EQ(
+      MostWithin({seconds(3), seconds(1), seconds(3), seconds(4)}, seconds(1)),
+      2U);
+}
+
+TEST(LargestShiftTest, IsThePartThatChangedItsRegion) {
+  LoadOutcome outcome;
+  for (int i = 0; i < 40; ++i) {
+    const auto at = std::chrono::milliseconds(100 * i);
+    const bool moved = i >= 20 && i % 2 == 0;
+    outcome.served.push_back({"north", moved ? "south" : "north", at});
+  }
+  outcome.served.push_back({"north", "north", seconds(4)});
+  EXPECT_NEAR(LargestShift(outcome, seconds(2), 10), 0.5, 0.05);
+}
+
+TEST(LoadPatternTest, ErrorsNameFileAndLine) {
+  const std::string path = ::testing::TempDir() + "pattern.yaml";
+  std::ofstream(path) << "name: x\nduration: 5\n";
+  try {
+    ReadPattern(path);
+    FAIL() << "a duration without a unit was taken";
+  } catch (const heatherlever::SettingsError& error) {
+    EXPECT_NE(std::string(error.what()).find("pattern.yaml:2"),
+              std::string::npos)
+        << error.what();
+  }
+}
+
+}  // namespace
+}  // namespace heather_simulate
--- a/testsuite/process/configuration_page_test.py
+++ b/testsuite/process/configuration_page_test.py
@@ -14,12 +14,13 @@
     "Planner": ["src/heather-planner/planner_settings.cc"],
     "Load": ["src/heather-load/load_plan.cc"],
     "Experiment": ["src/heather-load/experiment.cc"],
+    "Load pattern": ["src/heather-simulate/load_pattern.cc"],
 }
 
 READS = "Text|UniqueText|TextOr|FlagOr|Number|NumberOr|Time|TimeOr|Share|ShareOr|MegabitRate|Address|Texts|LabelsOr|Maps|MapOr"
 METHOD = re.compile(r'\.(?:%s)\(\s*"(\w+)"' % READS)
 # Helpers of the loaders that take the mapping and a key, such as OneOf(map, "rank", ...).
-HELPER = re.compile(r'\b(?:OneOf|Port|ReadSelector)\(\s*\w+,\s*"(\w+)"')
+HELPER = re.compile(r'\b(?:Count|OneOf|Port|ReadSelector)\(\s*\w+,\s*"(\w+)"')
 
 
 def keys_of_source(path):
