Log what a rejected request found, and the server of one that is given up

Change: a request that finds no room logs its candidates, its first choice, that server's estimated load, the own share of it, the limit and the age of the report; a request that is given up names the server that holds it. Placement tells the first choice (test: NamesTheFirstChoiceThoughItIsFull). No decision changed.

--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -37,6 +37,9 @@
   std::shared_ptr<ServerState> server;
   /// Usable servers, with or without room.
   int candidates = 0;
+  /// The first choice for the request's key, with or without room; nullptr if
+  /// no server is usable.
+  std::shared_ptr<ServerState> preferred;
 };
 
 /// Chooses a backend server for a request: rendezvous hashing by affinity key
--- a/src/include/heathersteer/server_load.h
+++ b/src/include/heathersteer/server_load.h
@@ -23,6 +23,11 @@
 
   int own() const { return own_; }
 
+  /// Time since the server's last report.
+  heatherlever::Duration report_age(heatherlever::Instant now) const {
+    return now - reported_at_;
+  }
+
  private:
   int own_ = 0;
   double others_ = 0;
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -83,6 +83,7 @@
   }
   ticket_ = gateway_.Wait(this, service_.name, route_.rank);
   hold_timer_.Start(heathersteer::LongestHold(route_), [this] {
+    LogNoRoom();
     if (policy_.WithoutRepeat() == NextStep::kFail) {
       Fail(kStatusBadGateway, "no room for a repeat");
     } else {
@@ -107,6 +108,7 @@
   const auto choice =
       gateway_.placement_.Choose(gateway_.servers_, wanted, now);
   if (choice.server == nullptr) {
+    last_choice_ = choice;
     return false;
   }
   if (ticket_ != 0) {
@@ -347,13 +349,37 @@
   }
 }
 
+void ForwardedRequest::LogNoRoom() const {
+  const auto& preferred = last_choice_.preferred;
+  if (preferred == nullptr) {
+    spdlog::info("request id={} finds no usable server of {}", id_,
+                 service_.name);
+    return;
+  }
+  const Instant now = EventLoop::Now();
+  spdlog::info(
+      "request id={} finds no room: candidates={} first={} load={:.1f} "
+      "own={} limit={:.1f} report_age_ms={}",
+      id_, last_choice_.candidates, preferred->server.id,
+      preferred->load.Estimate(now), preferred->load.own(),
+      gateway_.placement_.Limit(*preferred, route_, now),
+      Milliseconds(preferred->load.report_age(now)));
+}
+
 void ForwardedRequest::Log(int status, const char* reason) const {
   const Instant now = EventLoop::Now();
+  // A call that is given up has not ended and is not among the tried ones.
+  std::vector<std::string> servers = tried_;
+  int sends = policy_.sends();
+  if (server_ != nullptr) {
+    servers.push_back(server_->server.id);
+    sends += call_ != nullptr && call_->sent() ? 1 : 0;
+  }
   spdlog::info(
       "request id={} route={} rank={} status={} reason=\"{}\" sends={} "
       "servers={} took_ms={} left_ms={} config={}",
-      id_, route_.name, route_.rank, status, reason, policy_.sends(),
-      fmt::join(tried_, ","), Milliseconds(now - exchange_->received()),
+      id_, route_.name, route_.rank, status, reason, sends,
+      fmt::join(servers, ","), Milliseconds(now - exchange_->received()),
       Milliseconds(client_deadline_ - now), config_->version);
 }
 
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -11,6 +11,7 @@
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
 #include "heathersteer/attempt_policy.h"
+#include "heathersteer/placement.h"
 #include "heathersteer/server_state.h"
 #include "heathersteer/traffic_config.h"
 
@@ -57,6 +58,7 @@
   void End();
   void LeaveServer();
   void Log(int status, const char* reason) const;
+  void LogNoRoom() const;
 
   Gateway& gateway_;
   std::shared_ptr<HttpExchange> exchange_;
@@ -76,6 +78,8 @@
   std::shared_ptr<heathersteer::ServerState> server_;
   heatherlever::Instant sent_at_{0};
   std::vector<std::string> tried_;
+  // What the last try to place found, where it found no room.
+  heathersteer::PlacementChoice last_choice_;
   bool ended_ = false;
 };
 
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -110,6 +110,9 @@
   const std::vector<Candidate> ranked = Rank(table, request, now);
   PlacementChoice choice;
   choice.candidates = static_cast<int>(ranked.size());
+  if (!ranked.empty()) {
+    choice.preferred = ranked.front().server;
+  }
   double best_load = 1;
   const bool may_leave = std::any_of(
       ranked.begin(), ranked.end(), [&](const Candidate& candidate) {
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -63,6 +63,18 @@
     return request;
   }
 
+  // Whether a request finds its first choice named though nothing has room.
+  bool NamesPreferredWhenFull(const Placement& placement,
+                              const std::string& key) {
+    const auto before = Choose(placement, key);
+    for (const auto& state : table_.OfService("proofs")) {
+      Fill(state->server.id);
+    }
+    const PlacementRequest request = Request(key);
+    const PlacementChoice choice = placement.Choose(table_, request, kNow);
+    return choice.server == nullptr && choice.preferred == before;
+  }
+
   std::shared_ptr<ServerState> Choose(const Placement& placement,
                                       const std::string& key,
                                       Instant now = kNow) {
@@ -82,6 +94,10 @@
   std::vector<std::string> tried_;
 };
 
+TEST_F(PlacementTest, NamesTheFirstChoiceThoughItIsFull) {
+  EXPECT_TRUE(NamesPreferredWhenFull(Placement(Options("north")), "7"));
+}
+
 TEST_F(PlacementTest, HostsOfADomainAgreeOnEveryKey) {
   const Placement first(Options("north", "first"));
   const Placement second(Options("north", "second"));
