Log why an exchange with a backend server broke

Change: one line with the request's id, the server, the time since the send, the error and whether the server is now suspended. The gateway test of work that may have run expects it. No decision changed.

--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -210,6 +210,9 @@
   if (result.outcome != CallOutcome::kAnswered) {
     ++gateway_.counters_.broken;
     evidence.Failed(now);
+    spdlog::info("request id={} broken at {} after {} ms: {}; suspended={}",
+                 id_, server_->server.id, Milliseconds(now - sent_at_),
+                 result.error, !evidence.usable(now));
     return;
   }
   const auto load =
--- a/testsuite/gateway/forwarding_test.py
+++ b/testsuite/gateway/forwarding_test.py
@@ -59,6 +59,7 @@
         host = self.host_with("i-1", "i-2")
         self.assertEqual(host.request("/w/1", "POST", b"x")[0], 502)
         self.assertEqual(len(first.runs) + len(second.runs), 1)
+        self.assertIn("the connection ended", host.await_log("request id=id-1 broken at "))
 
     def test_idempotent_work_is_repeated(self):
         self.backend("i-1", "run_and_close")
