Go back to one reader a domain; answer an inquiry about an equal list by its age alone

A reader with 0.14 cores is slow with such lists, so news were old often, and every host with old news was sent whole lists by others.

So the inquiries were the cost, and one reader a region is worse than one a domain: more hosts have old news when it falls behind.

An inquiry carries a digest of the asking host's list; if it is equal, the answer is its age alone (ServerChanges::digest). A limit of 3 s instead would keep drains from hosts that the store refuses for too long. Test: EqualListsHaveOneDigestWhateverTheirHistory.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -38,10 +38,10 @@
 };
 
 /// Keeps an entry host informed of the operator's state, the backend servers
-/// and the other hosts of its domain. In each region one host reads the store.
-/// One host of each other domain asks it over the network between hosts, and
-/// the rest ask the one of their domain. They read the store themselves only
-/// while they can't reach that host or its news are old.
+/// and the other hosts of its domain. In each domain one host reads the store;
+/// the others ask it over the network between hosts. A host whose news are old,
+/// as it can't reach the one that it asks or that one can't read, reads the
+/// store itself and asks other hosts in turn.
 class FleetAgent {
  public:
   FleetAgent(heathernet::EventLoop& loop,
@@ -79,8 +79,7 @@
   void OnAnswer(const heathersteer::HostRecord& host, const CallResult& result);
   void OnFollowFailed(const heathersteer::HostRecord& host,
                       const std::string& problem);
-  void TakeAnswer(const heathersteer::HostRecord& host,
-                  const RelayAnswer& answer);
+  void TakeAnswer(const RelayAnswer& answer);
   void TakeServers(const RelayAnswer& answer, heatherlever::Instant known_at);
   bool ShouldRead() const;
   void EnsureReading();
--- a/src/include/heathersteer/relay_order.h
+++ b/src/include/heathersteer/relay_order.h
@@ -12,15 +12,15 @@
 
 namespace heathersteer {
 
-/// Decides from which host an entry host takes the platform's news: from the
-/// one of its domain that registered first, or, if it is that one itself, from
-/// the one of its region that registered first. A host that nobody precedes
-/// reads the platform's store itself: one host a region, at any size.
+/// Decides from which host of its domain an entry host takes the platform's
+/// news. Hosts follow the one that registered first; a host that nobody
+/// precedes reads the platform's store itself. Few hosts read that way, at any
+/// size.
 class RelayOrder {
  public:
   explicit RelayOrder(HostRecord self) : self_(std::move(self)) {}
 
-  /// The hosts' registrations; those of other regions are left out.
+  /// The hosts' registrations; those of other domains are left out.
   void SetHosts(const std::vector<HostRecord>& hosts);
 
   /// A host told its registration, which may be newer than the known one.
--- a/src/include/heathersteer/server_changes.h
+++ b/src/include/heathersteer/server_changes.h
@@ -21,6 +21,10 @@
   /// Number of the last change; 0 before the first list.
   std::uint64_t sequence() const { return sequence_; }
 
+  /// The same for two lists of the same servers in the same states, whichever
+  /// hosts keep them; 0 before the first list.
+  std::uint64_t digest() const { return digest_; }
+
   /// What changed after `sequence`. The whole list for 0, and where that
   /// change is no longer known.
   ServerDelta Since(std::uint64_t sequence) const;
@@ -37,6 +41,7 @@
   // Ids by the number of the change with which they went.
   std::multimap<std::uint64_t, std::string> removed_;
   std::uint64_t sequence_ = 0;
+  std::uint64_t digest_ = 0;
   // Removals up to this change may be forgotten.
   std::uint64_t forgotten_ = 0;
 };
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -25,7 +25,7 @@
 using heathersteer::OperatorState;
 
 // Pause between reads of the backend servers by the host that reads for its
-// region: drains have to be known everywhere within two seconds.
+// domain: drains have to be known everywhere within two seconds.
 constexpr Duration kServersPause = std::chrono::milliseconds(900);
 // Pause after a change of the operator's state, so that a storm of changes
 // costs few calls.
@@ -53,7 +53,7 @@
 constexpr Duration kTick = std::chrono::milliseconds(150);
 
 constexpr const char* kRelayPath = "/relay";
-// Difference of age from which on a list of servers is sent to a peer.
+// Difference of age from which on a peer is told of a newer list of servers.
 constexpr Duration kLeastGain = std::chrono::milliseconds(200);
 
 HttpClientOptions ClientOptions() {
@@ -152,6 +152,7 @@
 
 std::string FleetAgent::MakeInquiry() const {
   return EncodeInquiry({.list_age = EventLoop::Now() - servers_.known_at(),
+                        .list_digest = changes_.digest(),
                         .operator_version = operator_.version});
 }
 
@@ -170,7 +171,10 @@
   answer.instance = instance_;
   answer.age = now - servers_.known_at();
   if (answer.age + kLeastGain < inquiry->list_age) {
-    answer.servers = changes_.Since(0);
+    answer.same_list = inquiry->list_digest == changes_.digest();
+    if (!answer.same_list) {
+      answer.servers = changes_.Since(0);
+    }
   }
   if (operator_.version > inquiry->operator_version) {
     answer.operator_state = operator_;
@@ -182,8 +186,11 @@
   if (answer.operator_state) {
     OnOperator(*answer.operator_state);
   }
-  if (answer.servers &&
-      servers_.Apply(*answer.servers, EventLoop::Now() - answer.age)) {
+  const Instant known_at = EventLoop::Now() - answer.age;
+  if (answer.same_list) {
+    servers_.Confirm(known_at);
+  }
+  if (answer.servers && servers_.Apply(*answer.servers, known_at)) {
     OnServersChanged();
   }
 }
@@ -277,8 +284,7 @@
   const bool same = !followed_instance_.empty();
   const RelayQuestion question{
       .name = order_.self().name,
-      // Only the hosts of a domain stand in each other's directories.
-      .front = host.domain == order_.self().domain ? order_.self().front : "",
+      .front = order_.self().front,
       .joined = order_.self().joined,
       .ready = ready_ && !leaving_,
       .instance = followed_instance_,
@@ -315,7 +321,7 @@
     OnFollowFailed(host, "status " + std::to_string(result.head.status));
     return;
   }
-  TakeAnswer(host, *answer);
+  TakeAnswer(*answer);
   Follow();
 }
 
@@ -341,7 +347,7 @@
   followed_servers_ = answer.servers_sequence;
 }
 
-void FleetAgent::TakeAnswer(const HostRecord& host, const RelayAnswer& answer) {
+void FleetAgent::TakeAnswer(const RelayAnswer& answer) {
   const Instant known_at = EventLoop::Now() - answer.age;
   followed_instance_ = answer.instance;
   followed_operator_ = answer.operator_sequence;
@@ -350,7 +356,7 @@
     OnOperator(*answer.operator_state);
   }
   TakeServers(answer, known_at);
-  if (answer.fronts && host.domain == order_.self().domain) {
+  if (answer.fronts) {
     followed_fronts_ = *answer.fronts;
   }
   if (answer.host_count != host_count_) {
@@ -489,8 +495,7 @@
         HttpResponse::Of(kStatusConflict, EncodeAnswer(answer, now)));
     return;
   }
-  if (!question->front.empty() &&
-      live_.Heard(question->front, question->ready, now)) {
+  if (live_.Heard(question->front, question->ready, now)) {
     ++live_sequence_;
     AnswerHeld();
   }
--- a/src/libheathergate/peer_inquiry.cc
+++ b/src/libheathergate/peer_inquiry.cc
@@ -96,8 +96,8 @@
   if (answer->servers || answer->operator_state) {
     spdlog::info("{} gave newer news, {} ms old", peer,
                  heathersteer::Milliseconds(answer->age));
-    news_(*answer);
   }
+  news_(*answer);
 }
 
 void PeerInquiry::AskLater() {
--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -82,6 +82,7 @@
   answer.servers_sequence = value.at("servers_sequence").get<std::uint64_t>();
   answer.operator_sequence = value.at("operator_sequence").get<std::uint64_t>();
   answer.live_sequence = value.at("live_sequence").get<std::uint64_t>();
+  answer.same_list = value.at("same_list").get<bool>();
   if (value.contains("servers")) {
     answer.servers = ToDelta(value.at("servers"), now);
   }
@@ -103,7 +104,8 @@
                 {"hosts", answer.host_count},
                 {"servers_sequence", answer.servers_sequence},
                 {"operator_sequence", answer.operator_sequence},
-                {"live_sequence", answer.live_sequence}};
+                {"live_sequence", answer.live_sequence},
+                {"same_list", answer.same_list}};
   if (answer.servers) {
     value["servers"] = FromDelta(*answer.servers, now);
   }
@@ -158,6 +160,7 @@
 
 std::string EncodeInquiry(const NewsInquiry& inquiry) {
   return json{{"list_age_us", inquiry.list_age.count()},
+              {"list_digest", inquiry.list_digest},
               {"operator_version", inquiry.operator_version}}
       .dump();
 }
@@ -167,6 +170,7 @@
     const json value = json::parse(text);
     NewsInquiry inquiry;
     inquiry.list_age = Duration(value.at("list_age_us").get<std::int64_t>());
+    inquiry.list_digest = value.at("list_digest").get<std::uint64_t>();
     inquiry.operator_version =
         value.at("operator_version").get<std::uint64_t>();
     return inquiry;
--- a/src/libheathergate/relay_codec.h
+++ b/src/libheathergate/relay_codec.h
@@ -30,6 +30,8 @@
 struct NewsInquiry {
   /// Time since the asking host's list of servers was whole.
   heatherlever::Duration list_age{0};
+  /// Digest of that list.
+  std::uint64_t list_digest = 0;
   /// Version of the operator's state that it has.
   std::uint64_t operator_version = 0;
 };
@@ -44,6 +46,8 @@
   std::uint64_t servers_sequence = 0;
   std::uint64_t operator_sequence = 0;
   std::uint64_t live_sequence = 0;
+  /// Whether the list of the asking host is still right, as of `age`.
+  bool same_list = false;
   std::optional<heathersteer::ServerDelta> servers;
   std::optional<heathersteer::OperatorState> operator_state;
   std::optional<std::vector<std::string>> fronts;
--- a/src/libheathersteer/relay_order.cc
+++ b/src/libheathersteer/relay_order.cc
@@ -22,7 +22,7 @@
 void RelayOrder::SetHosts(const std::vector<HostRecord>& hosts) {
   std::map<std::string, HostRecord> known;
   for (const HostRecord& host : hosts) {
-    if (host.region != self_.region || host.name == self_.name) {
+    if (host.domain != self_.domain || host.name == self_.name) {
       continue;
     }
     HostRecord& entry = known[host.name] = host;
@@ -46,25 +46,17 @@
 }
 
 std::optional<HostRecord> RelayOrder::Choose(Instant now) const {
-  std::optional<HostRecord> of_domain;
-  std::optional<HostRecord> of_region;
+  std::optional<HostRecord> first;
   for (const auto& [name, host] : hosts_) {
     const auto passed = passed_over_until_.find(name);
     if (passed != passed_over_until_.end() && now < passed->second) {
       continue;
     }
-    if (!Precedes(host, self_)) {
-      continue;
-    }
-    if (!of_region || Precedes(host, *of_region)) {
-      of_region = host;
-    }
-    const bool near = host.domain == self_.domain;
-    if (near && (!of_domain || Precedes(host, *of_domain))) {
-      of_domain = host;
+    if (Precedes(host, self_) && (!first || Precedes(host, *first))) {
+      first = host;
     }
   }
-  return of_domain ? of_domain : of_region;
+  return first;
 }
 
 }  // namespace heathersteer
--- a/src/libheathersteer/server_changes.cc
+++ b/src/libheathersteer/server_changes.cc
@@ -1,5 +1,8 @@
 #include "heathersteer/server_changes.h"
 
+#include <xxhash.h>
+
+#include <array>
 #include <cstddef>
 #include <set>
 
@@ -10,6 +13,19 @@
 // leave by the hundred at most.
 constexpr std::size_t kMostRemovals = 1000;
 
+// Leaves out the end of the cold time, which every host reckons by its own
+// clock.
+std::uint64_t Digest(const BackendServer& server, std::uint64_t seed) {
+  std::uint64_t digest = seed;
+  for (const std::string* text :
+       {&server.id, &server.service, &server.address, &server.domain}) {
+    digest = XXH3_64bits_withSeed(text->data(), text->size(), digest);
+  }
+  const std::array<std::int64_t, 4> numbers = {
+      server.port, server.slots, server.draining ? 1 : 0, server.started_ms};
+  return XXH3_64bits_withSeed(numbers.data(), sizeof(numbers), digest);
+}
+
 }  // namespace
 
 void ServerChanges::Update(const std::vector<BackendServer>& servers) {
@@ -30,6 +46,10 @@
     return gone;
   });
   ForgetOldRemovals();
+  digest_ = 0;
+  for (const auto& [id, entry] : entries_) {
+    digest_ = Digest(entry.server, digest_);
+  }
 }
 
 void ServerChanges::ForgetOldRemovals() {
--- a/src/libheathersteer/server_changes_test.cc
+++ b/src/libheathersteer/server_changes_test.cc
@@ -48,6 +48,22 @@
   EXPECT_TRUE(changes.Since(99).whole);
 }
 
+TEST(ServerChangesTest, EqualListsHaveOneDigestWhateverTheirHistory) {
+  ServerChanges one;
+  ServerChanges other;
+  one.Update({MakeServer("a"), MakeServer("b")});
+  other.Update({MakeServer("b", 2)});
+  EXPECT_NE(one.digest(), other.digest());
+  BackendServer warming = MakeServer("b");
+  warming.cold_until = Instant{5};
+  other.Update({warming, MakeServer("a")});
+  EXPECT_EQ(one.digest(), other.digest());
+  BackendServer leaving = MakeServer("b");
+  leaving.draining = true;
+  other.Update({MakeServer("a"), leaving});
+  EXPECT_NE(one.digest(), other.digest());
+}
+
 TEST(ServerChangesTest, AServerThatIsBackIsNotRemoved) {
   ServerChanges changes;
   changes.Update({MakeServer("a")});
