Add heatherctl trace: the end of a request and its cause, by hosts' logs

Prints a request's lines, what the logs told before of its servers and configuration, and what the reason of its end means.

--- a/src/heatherctl/command.cc
+++ b/src/heatherctl/command.cc
@@ -4,6 +4,7 @@
 #include "heatherctl/config_commands.h"
 #include "heatherctl/drain_commands.h"
 #include "heatherctl/host_commands.h"
+#include "heatherctl/trace_command.h"
 
 namespace heatherctl {
 
@@ -18,6 +19,8 @@
       {"dump", "ADDRESS:PORT", "state of an entry host (admin port)", RunDump},
       {"explain", "ADDRESS:PORT KIND CLIENT",
        "where a request would go, and why", RunExplain},
+      {"trace", "ID FILE...",
+       "the end of a request and its cause, by hosts' logs", RunTrace},
       {"completion", "bash", "print a script that completes these words",
        RunCompletion},
   };
