Build the head of a question between hosts in one place; drop two unused accessors

PeerInquiry wrote the head that FleetAgent's QuestionHead already built: PostHead in http_head serves both. SimulatedServer::peak and ShiftPace::share had no caller. event_queue.h includes what it uses.

--- a/src/heather-simulate/event_queue.h
+++ b/src/heather-simulate/event_queue.h
@@ -1,6 +1,7 @@
 #ifndef HEATHER_SIMULATE_EVENT_QUEUE_H_
 #define HEATHER_SIMULATE_EVENT_QUEUE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/heather-simulate/simulated_server.cc
+++ b/src/heather-simulate/simulated_server.cc
@@ -31,7 +31,6 @@
     return number;
   }
   queue_.emplace_back(number, std::move(job));
-  peak_ = std::max(peak_, queue_.size() + running_.size());
   RunNext();
   return number;
 }
--- a/src/heather-simulate/simulated_server.h
+++ b/src/heather-simulate/simulated_server.h
@@ -66,9 +66,6 @@
     return cold_arrivals_;
   }
 
-  /// Most requests that were at the server at a time.
-  std::size_t peak() const { return peak_; }
-
  private:
   void RunNext();
   void Finish(std::uint64_t number);
@@ -86,7 +83,6 @@
   // Most recently handled first.
   std::list<std::string> warm_;
   std::vector<heatherlever::Instant> cold_arrivals_;
-  std::size_t peak_ = 0;
 };
 
 }  // namespace heather_simulate
--- a/src/include/heathergate/http_head.h
+++ b/src/include/heathergate/http_head.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERGATE_HTTP_HEAD_H_
 #define HEATHERGATE_HTTP_HEAD_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,11 @@
 /// `connection` is the value of the message's Connection field, if any.
 bool IsConnectionField(std::string_view name, const std::string* connection);
 
+/// The whole head of a POST between hosts, for a body of a known size.
+std::string PostHead(const std::string& path,
+                     const std::string& host,
+                     std::size_t body_size);
+
 }  // namespace heathergate
 
 #endif  // HEATHERGATE_HTTP_HEAD_H_
--- a/src/include/heathersteer/shift_pace.h
+++ b/src/include/heathersteer/shift_pace.h
@@ -30,14 +30,12 @@
   /// Servers of the region are impaired.
   void Impaired(heatherlever::Instant now);
 
-  /// Share of requests that may leave now.
-  double share() const { return share_; }
-
  private:
   bool Active(heatherlever::Instant now) const;
 
   // Mean of the demand.
   double wanted_ = 0;
+  // Share of requests that may leave now.
   double share_ = 0;
   // Requests that may leave, beyond those that have left; negative if more did.
   double tokens_ = 0;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -63,11 +63,6 @@
   return options;
 }
 
-std::string QuestionHead(const std::string& host, std::size_t body_size) {
-  return std::string("POST ") + kRelayPath + " HTTP/1.1\r\nHost: " + host +
-         "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
-}
-
 std::string RandomName() {
   std::random_device device;
   return std::to_string(device()) + "-" + std::to_string(device());
@@ -297,7 +292,7 @@
     OnFollowFailed(host, "no answer in time");
   });
   ask_ = client_.Send({host.name, host.relay_address, host.relay_port},
-                      QuestionHead(host.name, body.size()), body, "",
+                      PostHead(kRelayPath, host.name, body.size()), body, "",
                       [this, host](const CallResult& result) {
                         ask_timer_.Cancel();
                         ask_ = nullptr;
--- a/src/libheathergate/http_head.cc
+++ b/src/libheathergate/http_head.cc
@@ -67,4 +67,11 @@
   return connection != nullptr && Lists(*connection, name);
 }
 
+std::string PostHead(const std::string& path,
+                     const std::string& host,
+                     std::size_t body_size) {
+  return "POST " + path + " HTTP/1.1\r\nHost: " + host +
+         "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
+}
+
 }  // namespace heathergate
--- a/src/libheathergate/peer_inquiry.cc
+++ b/src/libheathergate/peer_inquiry.cc
@@ -72,14 +72,11 @@
     }
     AskLater();
   });
-  call_ = client_.Send(
-      peer,
-      std::string("POST ") + kPath + " HTTP/1.1\r\nHost: " + peer.name +
-          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n",
-      body, "", [this, name = peer.name](const CallResult& result) {
-        call_ = nullptr;
-        OnDone(name, result);
-      });
+  call_ = client_.Send(peer, PostHead(kPath, peer.name, body.size()), body, "",
+                       [this, name = peer.name](const CallResult& result) {
+                         call_ = nullptr;
+                         OnDone(name, result);
+                       });
 }
 
 void PeerInquiry::OnDone(const std::string& peer, const CallResult& result) {
