Tell who holds a leaving host for dead that it is leaving

Cause: an announcement that a cut swallowed counts as known to the peer, and digests of tables leave hosts that have ended out. So a peer that held the host for dead meanwhile never compared its table, and told the host 'dead', to which a leaving host had no answer. Ruled out: the order of versions (leaving goes before dead), the random probe (it reaches the host; its acknowledgement carries no news).

--- a/src/libheatherlever/membership_impl.h
+++ b/src/libheatherlever/membership_impl.h
@@ -65,7 +65,7 @@
   void TakeRecord(const MemberRecord& record,
                   const std::string& source,
                   Spread spread);
-  void TakeOwnRecord(const MemberVersion& version);
+  void TakeOwnRecord(const MemberVersion& version, const std::string& source);
   void TakeEntry(const GossipEntry& entry,
                  const std::string& source,
                  Spread spread);
--- a/src/libheatherlever/membership_news.cc
+++ b/src/libheatherlever/membership_news.cc
@@ -114,7 +114,7 @@
                                   const std::string& source,
                                   Spread spread) {
   if (record.id == self_.id) {
-    TakeOwnRecord(record.version);
+    TakeOwnRecord(record.version, source);
     return;
   }
   if (record.version.incarnation == 0) {
@@ -141,12 +141,21 @@
   NoteChange(record.id, before);
 }
 
-void Membership::Impl::TakeOwnRecord(const MemberVersion& version) {
+void Membership::Impl::TakeOwnRecord(const MemberVersion& version,
+                                     const std::string& source) {
   const MemberVersion& own = self_.version;
   if (version.incarnation > own.incarnation) {
     actions_.emplace_back(Superseded{version.incarnation});
     return;
   }
+  if (own.state == MemberState::kLeaving && version < own) {
+    // The announcement did not reach the source, and digests leave hosts that
+    // have ended out, so that no comparison of tables brings it there.
+    MembershipMessage message = Make(Kind::kGossip);
+    message.members.push_back(self_);
+    Send(source, std::move(message));
+    return;
+  }
   const bool accused = own < version && version.state != MemberState::kLeaving;
   if (accused) {
     SetOwnVersion(
--- a/src/libheatherlever/membership_test.cc
+++ b/src/libheatherlever/membership_test.cc
@@ -164,6 +164,26 @@
   EXPECT_EQ(StateOf(7, 0), MemberState::kSuspect);
 }
 
+// The announcement may be lost, and who got it by another way is up to chance.
+TEST(MembershipCutTest, LeaveAnnouncedBehindACutIsKnownAfterIt) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    MembershipFleet fleet({}, seed);
+    AddHost(fleet, 0);
+    AddHost(fleet, 1);
+    fleet.DeliverList();
+    fleet.RunFor(10 * kSecond);
+    fleet.Cut(Name(0), Name(1));
+    fleet.RunFor(static_cast<std::int64_t>(seed % 5) * kSecond);
+    fleet.Leave(Name(0));
+    fleet.RunFor(20 * kSecond);
+    EXPECT_EQ(fleet.View(Name(1)).at(Name(0)), MemberState::kDead);
+    fleet.Heal(Name(0), Name(1));
+    fleet.RunFor(60 * kSecond);
+    EXPECT_EQ(fleet.View(Name(1)).at(Name(0)), MemberState::kLeaving)
+        << "seed " << seed;
+  }
+}
+
 // Cuts region 0 off, heals the cut, and expects all to be alive to all.
 void ExpectCutHeals(MembershipFleet& fleet) {
   const auto every_pair = [&](auto apply) {
