Hold a server for full at a new owner that has no report of it

Cause: PoolRunner adopts a pool with no reports, and a server without a report counted as empty: requests of the killed owner held no slots, while half of the slots might be used at once. Ruled out: asking the servers' load at the take-over, as their load endpoint lags and may mislead. Before: NewOwnerHoldsServersWithoutReportForFull fails (2 sent, 0 allowed). A new owner's servers rest for the hold of 1 s.

--- a/src/include/heatherlever/pool_queue.h
+++ b/src/include/heatherlever/pool_queue.h
@@ -45,9 +45,10 @@
                    const std::set<std::string>& draining,
                    Instant now);
 
-  /// Takes the pool over from another owner, after SetBackends: the reported
-  /// requests in flight hold their slots until `hold` has passed, and every
-  /// server starts with a reduced allowance.
+  /// Takes the pool over from another owner, after SetBackends. The reported
+  /// requests in flight hold their slots until `hold` has passed; a server
+  /// without a report counts as full for that time. Every server starts with a
+  /// reduced allowance.
   void AdoptPool(const std::vector<BackendReport>& reports,
                  Duration hold,
                  Instant now);
--- a/src/libheatherlever/backend_ledger.cc
+++ b/src/libheatherlever/backend_ledger.cc
@@ -56,6 +56,13 @@
 void BackendLedger::Adopt(const std::vector<BackendReport>& reports,
                           Duration hold,
                           Instant now) {
+  // Requests of an owner that was killed may fill a server of which nothing was
+  // reported.
+  for (BackendState& state : states_) {
+    state.foreign = state.slots;
+    state.foreign_until = now + hold;
+    state.limit.Restart(options_.adopted_share, now);
+  }
   for (const BackendReport& report : reports) {
     const auto found = by_name_.find(report.backend);
     if (found == by_name_.end()) {
@@ -63,12 +70,8 @@
     }
     BackendState& state = states_[found->second];
     state.foreign = std::clamp(report.in_flight, 0, state.slots);
-    state.foreign_until = now + hold;
     state.report = report;
   }
-  for (BackendState& state : states_) {
-    state.limit.Restart(options_.adopted_share, now);
-  }
 }
 
 void BackendLedger::Report(const BackendReport& report) {
--- a/src/libheatherlever/pool_queue_test.cc
+++ b/src/libheatherlever/pool_queue_test.cc
@@ -288,5 +288,19 @@
       driver.pool->Summary().free_slots + driver.pool->Summary().in_flight, 4);
 }
 
+// An owner that was killed reports nothing, and its requests run on.
+TEST(PoolQueueTest, NewOwnerHoldsServersWithoutReportForFull) {
+  PoolTestDriver driver;
+  driver.SetBackends(2, 4, {});
+  driver.pool->AdoptPool({{"b0", 0, true}}, seconds(1), driver.now);
+  for (int i = 0; i < 6; ++i) {
+    driver.Submit(driver.Request("a", Rank::kFirst));
+  }
+  EXPECT_EQ(driver.in_flight["b0"], 2);
+  EXPECT_EQ(driver.in_flight["b1"], 0);
+  driver.Advance(seconds(1));
+  EXPECT_EQ(driver.in_flight["b1"], 2);
+}
+
 }  // namespace
 }  // namespace heatherlever
