Take the bounds of news and of shifts from the settings; read the store less in an outage

Cause: pauses of reads, holds and the pace of shifts were constants that fit the bounds 2 s and 0.15; a deployment with tighter ones would not be served. Changed: NewsPace and ShiftPace derive from the bounds; StoreReadPace lets followers try less and less often, up to 2.4 s, as their domain's reader tells them. StoreReader leaves FleetAgent as a class of its own. Ruled out: longer pauses for wider bounds (servers' deaths would be known later).

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -9,11 +9,13 @@
 #include <utility>
 #include <vector>
 
+#include "heathergate/fleet_options.h"
 #include "heathergate/fleet_source.h"
 #include "heathergate/http_client.h"
 #include "heathergate/http_server.h"
 #include "heathergate/timer.h"
 #include "heathersteer/live_hosts.h"
+#include "heathersteer/news_pace.h"
 #include "heathersteer/relay_order.h"
 #include "heathersteer/server_changes.h"
 #include "heathersteer/server_list.h"
@@ -25,8 +27,10 @@
 namespace heathergate {
 
 class PeerInquiry;
+class StoreReader;
 struct RelayAnswer;
 struct RelayQuestion;
+struct StoreReaderUser;
 
 /// Who is told of news.
 struct FleetListener {
@@ -47,6 +51,7 @@
   FleetAgent(heathernet::EventLoop& loop,
              FleetSource& source,
              const heathersteer::HostRecord& self,
+             const FleetOptions& options,
              FleetListener listener);
   ~FleetAgent();
 
@@ -82,10 +87,7 @@
   void TakeAnswer(const RelayAnswer& answer);
   void TakeServers(const RelayAnswer& answer, heatherlever::Instant known_at);
   bool ShouldRead() const;
-  void EnsureReading();
-  void ReadServers();
-  heatherlever::Duration ServersPause(bool succeeded) const;
-  void ReadOperator();
+  StoreReaderUser MakeReaderUser();
   void OnServersChanged();
   void OnOperator(const heathersteer::OperatorState& state);
   void CancelAsk();
@@ -102,6 +104,8 @@
 
   FleetSource& source_;
   FleetListener listener_;
+  const heathersteer::NewsPace pace_;
+  std::unique_ptr<StoreReader> reader_;
   heathersteer::RelayOrder order_;
   heathersteer::LiveHosts live_;
   heathersteer::ServerList servers_;
@@ -113,8 +117,6 @@
   Timer hosts_timer_;
   Timer follow_timer_;
   Timer ask_timer_;
-  Timer servers_timer_;
-  Timer operator_timer_;
   Timer tick_timer_;
   std::list<HeldQuestion> held_;
   std::vector<HttpPeer> seeds_;
@@ -138,12 +140,6 @@
   // Whether the store failed before this host knew anything.
   bool start_failed_ = false;
   bool hosts_known_ = false;
-  bool reading_servers_ = false;
-  bool reading_operator_ = false;
-  // Whether a read of the backend servers is under way.
-  bool reading_servers_now_ = false;
-  // Whether the last read of the backend servers failed.
-  bool store_failed_ = false;
   bool ready_ = false;
   bool leaving_ = false;
 };
--- a/src/include/heathergate/gateway_options.h
+++ b/src/include/heathergate/gateway_options.h
@@ -6,6 +6,7 @@
 #include "heathergate/header_names.h"
 #include "heathersteer/placement_options.h"
 #include "heathersteer/retry_budget.h"
+#include "heathersteer/shift_pace.h"
 
 namespace heathergate {
 
@@ -14,6 +15,8 @@
   HeaderNames names;
   heathersteer::PlacementOptions placement;
   heathersteer::RetryBudgetOptions retries;
+  /// Change of the share of requests that leave the region; see ShiftPace.
+  double most_shift = heathersteer::ShiftPace::kDefaultMostChange;
   /// Longest time for which requests wait at a host that has just started for
   /// the first configuration and backend server. Both take some round trips
   /// to the platform's store.
--- /dev/null
+++ b/src/include/heathersteer/news_pace.h
@@ -0,0 +1,25 @@
+#ifndef HEATHERSTEER_NEWS_PACE_H_
+#define HEATHERSTEER_NEWS_PACE_H_
+
+#include "heatherlever/instant.h"
+
+namespace heathersteer {
+
+/// Times by which news of the store reach every host within a bound.
+struct NewsPace {
+  /// Between two reads of the backend servers by the host that reads for its
+  /// failure domain.
+  heatherlever::Duration read_pause;
+  /// For which a question of another host is held while there is no news.
+  heatherlever::Duration hold;
+  /// Age of the own news from which on a host looks for other ways to get them.
+  heatherlever::Duration stale;
+
+  /// `bound`: longest time from a change in the store until every host acts on
+  /// it.
+  static NewsPace Within(heatherlever::Duration bound);
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_NEWS_PACE_H_
--- a/src/include/heathersteer/shift_pace.h
+++ b/src/include/heathersteer/shift_pace.h
@@ -14,6 +14,15 @@
 /// the region are impaired it follows at once.
 class ShiftPace {
  public:
+  /// Change of the share that operators allow from one span of two seconds to
+  /// the next, where nothing else is stated.
+  static constexpr double kDefaultMostChange = 0.15;
+
+  ShiftPace() : ShiftPace(kDefaultMostChange) {}
+
+  /// `most_change`: 0 to 1, as kDefaultMostChange.
+  explicit ShiftPace(double most_change);
+
   /// A new request would run in another region (`leaves`) or in the own one by
   /// room alone. Called once a request.
   void Observe(bool leaves, heatherlever::Instant now);
@@ -33,6 +42,8 @@
  private:
   bool Active(heatherlever::Instant now) const;
 
+  // Largest change of the share in a second.
+  double most_per_second_;
   // Mean of the demand.
   double wanted_ = 0;
   // Share of requests that may leave now.
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -13,6 +13,7 @@
 #include "heathersteer/milliseconds.h"
 #include "libheathergate/peer_inquiry.h"
 #include "libheathergate/relay_codec.h"
+#include "libheathergate/store_reader.h"
 
 namespace heathergate {
 namespace {
@@ -24,13 +25,7 @@
 using heathersteer::HostRecord;
 using heathersteer::OperatorState;
 
-// Pause between reads of the backend servers by the host that reads for its
-// domain: drains have to be known everywhere within two seconds.
-constexpr Duration kServersPause = std::chrono::milliseconds(900);
-// Pause after a change of the operator's state, so that a storm of changes
-// costs few calls.
-constexpr Duration kOperatorPause = std::chrono::milliseconds(150);
-// Pause after a call to the store that failed.
+// Pause after a registration, or a read of them, that failed.
 constexpr Duration kRetryPause = std::chrono::milliseconds(600);
 // Pause between reads of the hosts' registrations; others make themselves known
 // by asking.
@@ -38,18 +33,10 @@
 // Second read of the registrations after the start, when all hosts of a common
 // start have registered.
 constexpr Duration kFirstHostsPause = std::chrono::seconds(2);
-// Time for which a question is held: until there is news or the store has been
-// read again, and somewhat longer than that read's pause while it is away.
-constexpr Duration kHold = std::chrono::milliseconds(950);
 // Time for an answer beyond the hold.
 constexpr Duration kAnswerSlack = std::chrono::milliseconds(300);
 // Pause before the next host is asked after a failure.
 constexpr Duration kFollowPause = std::chrono::milliseconds(20);
-// Age of the news from which on this host reads for itself and asks its peers:
-// the host that it follows may be cut off or refused, and so may this one.
-constexpr Duration kStale = std::chrono::milliseconds(1400);
-// Lateness of timers that a planned read allows for.
-constexpr Duration kTimerSlack = std::chrono::milliseconds(5);
 constexpr Duration kTick = std::chrono::milliseconds(150);
 
 constexpr const char* kRelayPath = "/relay";
@@ -80,9 +67,15 @@
 FleetAgent::FleetAgent(EventLoop& loop,
                        FleetSource& source,
                        const HostRecord& self,
+                       const FleetOptions& options,
                        FleetListener listener)
     : source_(source),
       listener_(std::move(listener)),
+      pace_(heathersteer::NewsPace::Within(options.news_bound)),
+      reader_(std::make_unique<StoreReader>(loop,
+                                            source,
+                                            pace_.read_pause,
+                                            MakeReaderUser())),
       order_(self),
       client_(loop, ClientOptions()),
       inquiry_(std::make_unique<PeerInquiry>(
@@ -99,8 +92,6 @@
       hosts_timer_(loop),
       follow_timer_(loop),
       ask_timer_(loop),
-      servers_timer_(loop),
-      operator_timer_(loop),
       tick_timer_(loop),
       instance_(RandomName()) {}
 
@@ -110,7 +101,7 @@
   started_at_ = EventLoop::Now();
   // Clients may be waiting already: the registration and the choice of a host
   // to follow take several round trips, the first reads one.
-  EnsureReading();
+  reader_->Ensure();
   Register();
   Tick();
 }
@@ -120,7 +111,7 @@
     if (!joined.ok()) {
       spdlog::warn("registration failed: {}", joined.status().ToString());
       // The configuration may be readable all the same.
-      EnsureReading();
+      reader_->Ensure();
       start_failed_ = true;
       register_timer_.Start(kRetryPause, [this] { Register(); });
       return;
@@ -142,7 +133,7 @@
 bool FleetAgent::NewsAreOld() const {
   const bool nothing_known = operator_sequence_ == 0 && start_failed_;
   const Instant known_at = std::max(servers_.known_at(), started_at_);
-  return nothing_known || EventLoop::Now() - known_at > kStale;
+  return nothing_known || EventLoop::Now() - known_at > pace_.stale;
 }
 
 std::string FleetAgent::MakeInquiry() const {
@@ -230,7 +221,7 @@
                      first](absl::StatusOr<std::vector<HostRecord>> hosts) {
     if (!hosts.ok()) {
       spdlog::warn("registrations not read: {}", hosts.status().ToString());
-      EnsureReading();
+      reader_->Ensure();
       hosts_timer_.Start(kRetryPause, [this] { ReadHosts(); });
       return;
     }
@@ -269,9 +260,9 @@
     Ask(*host);
     return;
   }
-  EnsureReading();
+  reader_->Ensure();
   // An earlier host may be back.
-  follow_timer_.Start(kHold, [this] { Follow(); });
+  follow_timer_.Start(pace_.hold, [this] { Follow(); });
 }
 
 void FleetAgent::Ask(const HostRecord& host) {
@@ -287,7 +278,7 @@
       .operator_sequence = same ? followed_operator_ : 0,
       .live_sequence = same ? followed_live_ : 0};
   const std::string body = EncodeQuestion(question);
-  ask_timer_.Start(kHold + kAnswerSlack, [this, host] {
+  ask_timer_.Start(pace_.hold + kAnswerSlack, [this, host] {
     CancelAsk();
     OnFollowFailed(host, "no answer in time");
   });
@@ -359,7 +350,7 @@
     listener_.on_host_count(host_count_);
   }
   if (ShouldRead()) {
-    EnsureReading();
+    reader_->Ensure();
   }
 }
 
@@ -367,81 +358,28 @@
   return following_.empty() || NewsAreOld();
 }
 
-void FleetAgent::EnsureReading() {
-  if (!reading_servers_) {
-    reading_servers_ = true;
-    ReadServers();
-  }
-  if (!reading_operator_) {
-    reading_operator_ = true;
-    ReadOperator();
-  }
-}
-
-void FleetAgent::ReadServers() {
-  reading_servers_now_ = true;
-  const Instant asked_at = EventLoop::Now();
-  source_.ReadServers([this, asked_at](
-                          absl::StatusOr<std::vector<BackendServer>> servers) {
-    reading_servers_now_ = false;
-    if (servers.ok()) {
-      if (servers_.Update(*servers, asked_at)) {
-        OnServersChanged();
-      }
-      AnswerAllHeld();
-      if (std::exchange(store_failed_, false)) {
-        source_.RestartFollow();
-      }
-    } else {
-      store_failed_ = true;
-      spdlog::warn("backend servers not read, the list of {} ms ago stays: {}",
-                   heathersteer::Milliseconds(asked_at - servers_.known_at()),
-                   servers.status().ToString());
-    }
-    servers_timer_.Start(ServersPause(servers.ok()), [this] {
-      reading_servers_ = ShouldRead();
-      if (reading_servers_) {
-        ReadServers();
-      }
-    });
-  });
-}
-
-Duration FleetAgent::ServersPause(bool succeeded) const {
-  if (!succeeded) {
-    return kRetryPause;
-  }
-  // Servers that did not return are dropped as soon as the rule allows it.
-  const Duration left = servers_.return_time_left(EventLoop::Now());
-  return left.count() > 0 ? std::min(left + kTimerSlack, kServersPause)
-                          : kServersPause;
-}
-
-void FleetAgent::ReadOperator() {
-  source_.FollowOperator([this](absl::StatusOr<OperatorState> state) {
-    bool changed = false;
-    if (state.ok()) {
-      changed = state->version != operator_.version;
-      OnOperator(*state);
-      if (store_failed_ && reading_servers_ && !reading_servers_now_) {
-        // The store is back: the servers need not wait for their retry.
-        servers_timer_.Cancel();
-        ReadServers();
-      }
-    } else {
-      spdlog::warn("operator's state not read, version {} stays: {}",
-                   operator_.version, state.status().ToString());
-    }
-    const Duration pause = !state.ok() ? kRetryPause
-                           : changed   ? kOperatorPause
-                                       : Duration(0);
-    operator_timer_.Start(pause, [this] {
-      reading_operator_ = ShouldRead();
-      if (reading_operator_) {
-        ReadOperator();
-      }
-    });
-  });
+StoreReaderUser FleetAgent::MakeReaderUser() {
+  return {
+      .wants_reads = [this] { return ShouldRead(); },
+      .leads = [this] { return following_.empty(); },
+      .return_time_left =
+          [this] { return servers_.return_time_left(EventLoop::Now()); },
+      .on_servers =
+          [this](const std::vector<BackendServer>& servers, Instant asked_at) {
+            if (servers_.Update(servers, asked_at)) {
+              OnServersChanged();
+            }
+            AnswerAllHeld();
+          },
+      .on_operator = [this](const OperatorState& state) { OnOperator(state); },
+      .on_servers_failed =
+          [this](const absl::Status& status) {
+            spdlog::warn(
+                "backend servers not read, the list of {} ms ago stays: {}",
+                heathersteer::Milliseconds(EventLoop::Now() -
+                                           servers_.known_at()),
+                status.ToString());
+          }};
 }
 
 void FleetAgent::OnServersChanged() {
@@ -482,7 +420,7 @@
     return;
   }
   const Instant now = EventLoop::Now();
-  HeldQuestion held{exchange, *question, now + kHold};
+  HeldQuestion held{exchange, *question, now + pace_.hold};
   if (!order_.MayFollow(question->joined)) {
     RelayAnswer answer;
     answer.joined = order_.self().joined;
@@ -573,7 +511,7 @@
     }
   }
   if (hosts_known_ && ShouldRead()) {
-    EnsureReading();
+    reader_->Ensure();
   }
   inquiry_->SetActive(NewsAreOld() && !leaving_);
   tick_timer_.Start(kTick, [this] { Tick(); });
--- /dev/null
+++ b/src/libheathergate/store_reader.cc
@@ -0,0 +1,119 @@
+#include "libheathergate/store_reader.h"
+
+#include <absl/status/statusor.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "heathergate/fleet_source.h"
+#include "heathernet/event_loop.h"
+
+namespace heathergate {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+using heathernet::EventLoop;
+using heathersteer::BackendServer;
+using heathersteer::OperatorState;
+
+// Pause after a change of the operator's state, so that a storm of changes
+// costs few calls.
+constexpr Duration kOperatorPause = std::chrono::milliseconds(150);
+// Lateness of timers that a planned read allows for.
+constexpr Duration kTimerSlack = std::chrono::milliseconds(5);
+
+}  // namespace
+
+StoreReader::StoreReader(EventLoop& loop,
+                         FleetSource& source,
+                         Duration pause,
+                         StoreReaderUser user)
+    : source_(source),
+      pause_(pause),
+      user_(std::move(user)),
+      servers_timer_(loop),
+      operator_timer_(loop) {}
+
+void StoreReader::Ensure() {
+  if (!reading_servers_) {
+    reading_servers_ = true;
+    ReadServers();
+  }
+  if (!reading_operator_) {
+    reading_operator_ = true;
+    ReadOperator();
+  }
+}
+
+void StoreReader::ReadServers() {
+  reading_servers_now_ = true;
+  const Instant asked_at = EventLoop::Now();
+  source_.ReadServers(
+      [this, asked_at](absl::StatusOr<std::vector<BackendServer>> servers) {
+        reading_servers_now_ = false;
+        if (servers.ok()) {
+          user_.on_servers(*servers, asked_at);
+          OnServersRead();
+        } else {
+          OnServersFailed(servers.status());
+        }
+        servers_timer_.Start(ServersPause(), [this] {
+          reading_servers_ = user_.wants_reads();
+          if (reading_servers_) {
+            ReadServers();
+          }
+        });
+      });
+}
+
+void StoreReader::OnServersRead() {
+  if (pace_.failed()) {
+    pace_.Succeeded();
+    source_.RestartFollow();
+  }
+}
+
+void StoreReader::OnServersFailed(const absl::Status& status) {
+  pace_.Failed();
+  user_.on_servers_failed(status);
+}
+
+Duration StoreReader::ServersPause() const {
+  if (pace_.failed()) {
+    return pace_.RetryPause(user_.leads());
+  }
+  // Servers that did not return are dropped as soon as the rule allows it.
+  const Duration left = user_.return_time_left();
+  return left.count() > 0 ? std::min(left + kTimerSlack, pause_) : pause_;
+}
+
+void StoreReader::ReadOperator() {
+  source_.FollowOperator([this](absl::StatusOr<OperatorState> state) {
+    Duration pause{0};
+    if (state.ok()) {
+      const bool changed = state->version != operator_version_;
+      operator_version_ = state->version;
+      user_.on_operator(*state);
+      pause = changed ? kOperatorPause : Duration(0);
+      if (pace_.failed() && reading_servers_ && !reading_servers_now_) {
+        // The store is back: the servers need not wait for their retry.
+        servers_timer_.Cancel();
+        ReadServers();
+      }
+    } else {
+      spdlog::warn("operator's state not read, version {} stays: {}",
+                   operator_version_, state.status().ToString());
+      pause = pace_.RetryPause(user_.leads());
+    }
+    operator_timer_.Start(pause, [this] {
+      reading_operator_ = user_.wants_reads();
+      if (reading_operator_) {
+        ReadOperator();
+      }
+    });
+  });
+}
+
+}  // namespace heathergate
--- /dev/null
+++ b/src/libheathersteer/news_pace.cc
@@ -0,0 +1,35 @@
+#include "heathersteer/news_pace.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Duration;
+
+// Parts of the bound. A change just after a read is known after the next one;
+// the rest is for the way to the other hosts and for a reader that was lost.
+constexpr double kReadShare = 0.45;
+constexpr double kHoldShare = 0.475;
+constexpr double kStaleShare = 0.7;
+// Longest bound that is made use of: hosts that hold a question for longer
+// would be noticed too late when they die.
+constexpr Duration kMostBound = std::chrono::seconds(2);
+
+Duration Part(Duration whole, double share) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
+}
+
+}  // namespace
+
+NewsPace NewsPace::Within(Duration bound) {
+  const Duration used = std::min(bound, kMostBound);
+  return {.read_pause = Part(used, kReadShare),
+          .hold = Part(used, kHoldShare),
+          .stale = Part(used, kStaleShare)};
+}
+
+}  // namespace heathersteer
--- /dev/null
+++ b/src/libheathersteer/news_pace_test.cc
@@ -0,0 +1,34 @@
+#include "heathersteer/news_pace.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time in which a host sees that its reader gives no answer, beyond the hold.
+constexpr Duration kAnswerSlack = milliseconds(300);
+
+TEST(NewsPaceTest, ALostReaderIsReplacedWithinTheBound) {
+  for (const Duration bound :
+       {Duration(seconds(1)), Duration(milliseconds(1500)),
+        Duration(seconds(2)), Duration(seconds(5))}) {
+    const NewsPace pace = NewsPace::Within(bound);
+    EXPECT_LT(pace.read_pause, pace.hold);
+    EXPECT_LT(pace.hold, pace.stale);
+    EXPECT_LE(pace.stale + kAnswerSlack, bound);
+  }
+}
+
+TEST(NewsPaceTest, AWideBoundDoesNotSlowTheNewsDown) {
+  EXPECT_EQ(NewsPace::Within(seconds(9)).hold,
+            NewsPace::Within(seconds(2)).hold);
+}
+
+}  // namespace
+}  // namespace heathersteer
--- a/src/libheathersteer/shift_pace.cc
+++ b/src/libheathersteer/shift_pace.cc
@@ -9,9 +9,13 @@
 using heatherlever::Duration;
 using heatherlever::Instant;
 
-// Largest change of the share in a second. Operators allow 0.15 from one span
-// of two seconds to the next, which leaves 0.06 for chance.
-constexpr double kMostPerSecond = 0.045;
+// Seconds of the spans that operators compare.
+constexpr double kSpanSeconds = 2;
+// Part of the allowed change that is left for chance: the share of some hundred
+// requests differs by so much between two spans of equal demand.
+constexpr double kChance = 0.06;
+// Least part of the allowed change that is used, where chance would take all.
+constexpr double kLeastUsed = 0.2;
 // Weight of the newest request in the mean of the demand.
 constexpr double kWantedWeight = 0.025;
 // Requests by which the count may run ahead or lag; hosts of one region may do
@@ -23,6 +27,11 @@
 
 }  // namespace
 
+ShiftPace::ShiftPace(double most_change)
+    : most_per_second_(
+          std::max(most_change - kChance, kLeastUsed * most_change) /
+          kSpanSeconds) {}
+
 bool ShiftPace::Active(Instant now) const {
   return last_.has_value() && now >= free_until_;
 }
@@ -38,7 +47,7 @@
     tokens_ = 0;
   } else {
     const double seconds = std::chrono::duration<double>(now - *last_).count();
-    const double most = kMostPerSecond * seconds;
+    const double most = most_per_second_ * seconds;
     share_ += std::clamp(wanted_ - share_, -most, most);
   }
   last_ = now;
--- a/src/libheathersteer/shift_pace_test.cc
+++ b/src/libheathersteer/shift_pace_test.cc
@@ -25,6 +25,8 @@
 // leave; returns for each request whether it left.
 class Traffic {
  public:
+  explicit Traffic(double most_change = kMostShift) : pace_(most_change) {}
+
   void Run(heatherlever::Duration time, int one_in, bool impaired = false) {
     const Instant end = now_ + time;
     for (; now_ < end; now_ += kGap) {
@@ -78,6 +80,17 @@
   EXPECT_LE(traffic.ShareFrom(32), 0.2);
 }
 
+TEST(ShiftPaceTest, KeepsASmallerOrLargerBound) {
+  for (const double most : {0.1, 0.3}) {
+    Traffic traffic(most);
+    traffic.Run(seconds(10), 10);
+    traffic.Run(seconds(20), 2);
+    traffic.Run(seconds(20), 10);
+    EXPECT_LE(traffic.LargestChange(), most);
+    EXPECT_GE(traffic.ShareFrom(28), 0.4);
+  }
+}
+
 TEST(ShiftPaceTest, ImpairedServersMayBeLeftAtOnce) {
   Traffic traffic;
   traffic.Run(seconds(10), 10);
--- /dev/null
+++ b/src/libheathersteer/store_read_pace.cc
@@ -0,0 +1,29 @@
+#include "heathersteer/store_read_pace.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Duration;
+
+// Pause after a first failure.
+constexpr Duration kRetryPause = std::chrono::milliseconds(600);
+// Longest pause. The store counts as back once it has answered for three
+// seconds, and a host whose own domain has no reader must know by then.
+constexpr Duration kLongestPause = std::chrono::milliseconds(2400);
+// Doublings up to the longest pause.
+constexpr int kMostDoublings = 2;
+
+}  // namespace
+
+Duration StoreReadPace::RetryPause(bool leads) const {
+  if (leads || failures_ == 0) {
+    return kRetryPause;
+  }
+  const int doublings = std::min(failures_ - 1, kMostDoublings);
+  return std::min(kRetryPause * (1 << doublings), kLongestPause);
+}
+
+}  // namespace heathersteer
