--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -60,6 +60,16 @@
   /// Number of entry hosts, which share budgets and rates.
   void SetHosts(int hosts);
 
+  /// Told of each load that a backend server reports with an answer.
+  using LoadListener =
+      std::function<void(const std::string& server_id, int requests)>;
+  void SetLoadListener(LoadListener listener) {
+    load_listener_ = std::move(listener);
+  }
+
+  /// A backend server reported so many requests to another host.
+  void TakePeerLoad(const std::string& server_id, int requests);
+
   heathersteer::ServerTable& servers() { return servers_; }
   const heathersteer::ServerTable& servers() const { return servers_; }
 
@@ -112,6 +122,7 @@
   std::map<std::string, heathersteer::RetryBudget> budgets_;
   std::map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
   std::map<std::uint64_t, ForwardedRequest*> waiting_;
+  LoadListener load_listener_;
   GatewayCounters counters_;
   std::map<int, LatencyHistogram> latencies_;
   std::mt19937_64 random_;
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -232,6 +232,10 @@
       ParseLoadReport(result.head.Value(gateway_.options_.names.server_load));
   if (load) {
     server_->load.Report(load->running, load->waiting, now);
+    if (gateway_.load_listener_) {
+      gateway_.load_listener_(server_->server.id,
+                              load->running + load->waiting);
+    }
   }
   if (outcome != AttemptOutcome::kNotExecuted) {
     evidence.Answered(now - sent_at_, now);
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -139,6 +139,12 @@
   placement_.set_hosts(hosts);
 }
 
+void Gateway::TakePeerLoad(const std::string& server_id, int requests) {
+  if (const auto server = servers_.Find(server_id)) {
+    server->load.PeerReport(requests, EventLoop::Now());
+  }
+}
+
 void Gateway::SetRetryOptions(const heathersteer::RetryBudgetOptions& retries) {
   options_.retries = retries;
   for (auto& [service, budget] : budgets_) {
--- a/src/libheathersteer/server_load_test.cc
+++ b/src/libheathersteer/server_load_test.cc
@@ -30,5 +30,17 @@
   EXPECT_DOUBLE_EQ(load.Estimate(seconds(1)), 2);
 }
 
+TEST(ServerLoadTest, AnotherHostsReportCountsUnlessTheOwnIsAsNew) {
+  ServerLoad load;
+  load.Sent();
+  load.PeerReport(6, seconds(1));
+  EXPECT_DOUBLE_EQ(load.Estimate(seconds(1)), 6);
+  load.Report(2, 0, seconds(2));
+  load.PeerReport(9, seconds(2) + std::chrono::milliseconds(50));
+  EXPECT_LT(load.Estimate(seconds(2) + std::chrono::milliseconds(50)), 2.1);
+  load.PeerReport(9, seconds(3));
+  EXPECT_DOUBLE_EQ(load.Estimate(seconds(3)), 9);
+}
+
 }  // namespace
 }  // namespace heathersteer
