--- a/src/heather-simulate/simulated_host.cc
+++ b/src/heather-simulate/simulated_host.cc
@@ -103,6 +103,11 @@
   events_.At(attempt.deadline, [this, request] {
     End(request, AttemptEnd::kFailed, Duration(0));
   });
+  const double random = std::uniform_real_distribution<double>(0, 1)(random_);
+  if (throttles_[request->route.name].Reject(events_.now(), random)) {
+    Reject(request);
+    return;
+  }
   Place(request);
 }
 
@@ -212,17 +217,40 @@
   heathersteer::ServerState& server = *request.server;
   switch (answer.outcome) {
     case AttemptOutcome::kAnswered:
-      server.load.Report(answer.running, answer.waiting, now);
+      TakeReport(server, answer);
       server.evidence.Answered(now - request.sent_at, now);
       return;
     case AttemptOutcome::kNotExecuted:
-      server.load.Report(answer.running, answer.waiting, now);
+      TakeReport(server, answer);
       return;
     default:
       server.evidence.Failed(now);
   }
 }
 
+void SimulatedHost::TakeReport(heathersteer::ServerState& server,
+                               const ServerAnswer& answer) {
+  server.load.Report(answer.running, answer.waiting, events_.now());
+  if (load_listener_) {
+    load_listener_(server.server.id, answer.running + answer.waiting);
+  }
+}
+
+void SimulatedHost::TakePeerLoad(const std::string& server_id, int requests) {
+  if (const auto server = servers_.Find(server_id)) {
+    server->load.PeerReport(requests, events_.now());
+  }
+}
+
+void SimulatedHost::CountEnd(const Request& request, AttemptEnd end) {
+  heathersteer::OverloadThrottle& throttle = throttles_[request.route.name];
+  if (end == AttemptEnd::kServed) {
+    throttle.Served(events_.now());
+  } else if (end == AttemptEnd::kFailed) {
+    throttle.Overdue(events_.now());
+  }
+}
+
 void SimulatedHost::Reject(const RequestPtr& request) {
   const double random = std::uniform_real_distribution<double>(0, 1)(random_);
   End(request, AttemptEnd::kRejected,
@@ -237,6 +265,7 @@
     return;
   }
   request->ended = true;
+  CountEnd(*request, end);
   if (request->ticket != 0) {
     queue_.Remove(request->ticket);
     waiting_.erase(std::exchange(request->ticket, 0));
@@ -288,6 +317,7 @@
   servers_ = {};
   shift_ = {};
   budgets_.clear();
+  throttles_.clear();
 }
 
 Duration SimulatedHost::DelayTo(
--- a/src/heather-simulate/simulated_host.h
+++ b/src/heather-simulate/simulated_host.h
@@ -7,11 +7,13 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "heather-simulate/server_chooser.h"
 #include "heather-simulate/simulated_server.h"
 #include "heathersteer/attempt_policy.h"
+#include "heathersteer/overload_throttle.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
 #include "heathersteer/route.h"
@@ -66,6 +68,16 @@
   /// The list of servers changed.
   void SetServers(const std::vector<heathersteer::BackendServer>& servers);
 
+  /// Told of each load that a server reports to this host.
+  using LoadListener =
+      std::function<void(const std::string& server_id, int requests)>;
+  void SetLoadListener(LoadListener listener) {
+    load_listener_ = std::move(listener);
+  }
+
+  /// A server reported so many requests to another host.
+  void TakePeerLoad(const std::string& server_id, int requests);
+
   /// The process ends and starts anew: what it held is lost.
   void Restart();
 
@@ -87,6 +99,9 @@
             const std::shared_ptr<heathersteer::ServerState>& server);
   void OnAnswer(const RequestPtr& request, const ServerAnswer& answer);
   void TakeEvidence(const Request& request, const ServerAnswer& answer);
+  void TakeReport(heathersteer::ServerState& server,
+                  const ServerAnswer& answer);
+  void CountEnd(const Request& request, AttemptEnd end);
   void Reject(const RequestPtr& request);
   void End(const RequestPtr& request,
            AttemptEnd end,
@@ -101,6 +116,7 @@
   HostPlace place_;
   std::mt19937_64 random_;
   ServerLookup lookup_;
+  LoadListener load_listener_;
   heathersteer::Placement placement_;
   std::unique_ptr<ServerChooser> chooser_;
   int hosts_;
@@ -110,6 +126,8 @@
   std::map<std::string, heathersteer::Service> services_;
   std::map<std::string, heathersteer::Route> routes_;
   std::map<std::string, heathersteer::RetryBudget> budgets_;
+  // By route.
+  std::map<std::string, heathersteer::OverloadThrottle> throttles_;
   std::map<std::uint64_t, RequestPtr> waiting_;
   std::map<Request*, RequestPtr> active_;
   std::map<std::string, std::vector<heatherlever::Instant>> repeats_;
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -14,6 +14,7 @@
 #include "heathergate/latency_histogram.h"
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
+#include "heathersteer/overload_throttle.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
 #include "heathersteer/route_table.h"
@@ -97,6 +98,7 @@
   void TakeUpEarly();
   void RejectEarly(const std::shared_ptr<HttpExchange>& exchange);
   HttpResponse Rejection(heatherlever::Duration time_left);
+  heathersteer::OverloadThrottle& Throttle(const std::string& route);
   heathersteer::RetryBudget& Budget(const std::string& service);
   void Retain(const std::shared_ptr<ForwardedRequest>& request);
   void Release(ForwardedRequest* request);
@@ -120,6 +122,7 @@
   std::shared_ptr<const heathersteer::RouteTable> routes_;
   std::shared_ptr<heathersteer::SteeringRules> rules_;
   std::map<std::string, heathersteer::RetryBudget> budgets_;
+  std::map<std::string, heathersteer::OverloadThrottle> throttles_;
   std::map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
   std::map<std::uint64_t, ForwardedRequest*> waiting_;
   LoadListener load_listener_;
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -73,7 +73,12 @@
   });
   const Instant last = std::min(client_deadline_, deadline_ + kTimeoutSlack);
   deadline_timer_.Start(last - EventLoop::Now(), [this] { OnDeadline(); });
-  gateway_.Budget(service_.name).CountRequest(EventLoop::Now());
+  const Instant now = EventLoop::Now();
+  gateway_.Budget(service_.name).CountRequest(now);
+  if (gateway_.Throttle(route_.name).Reject(now, gateway_.Random())) {
+    Reject("servers run out of time");
+    return;
+  }
   Place();
 }
 
@@ -261,6 +266,7 @@
       Place();
       return;
     case NextStep::kReject:
+      gateway_.Throttle(route_.name).Overdue(EventLoop::Now());
       Reject("no server took it");
       return;
     case NextStep::kFail:
@@ -300,6 +306,12 @@
       response.fields.push_back(field);
     }
   }
+  heathersteer::OverloadThrottle& throttle = gateway_.Throttle(route_.name);
+  if (result.head.status == kStatusGatewayTimeout) {
+    throttle.Overdue(EventLoop::Now());
+  } else {
+    throttle.Served(EventLoop::Now());
+  }
   ++gateway_.counters_.delivered;
   gateway_.latencies_[route_.rank].Record(EventLoop::Now() -
                                           exchange_->received());
@@ -321,6 +333,9 @@
     Reject("deadline passed before it was sent");
     return;
   }
+  if (sent) {
+    gateway_.Throttle(route_.name).Overdue(EventLoop::Now());
+  }
   Fail(kStatusGatewayTimeout, "deadline passed");
 }
 
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -88,6 +89,12 @@
                config->version, config->routes.size(), config->services.size(),
                config_ == nullptr ? 0 : config_->version);
   config_ = std::move(config);
+  std::erase_if(throttles_, [this](const auto& throttle) {
+    return std::none_of(config_->routes.begin(), config_->routes.end(),
+                        [&](const heathersteer::Route& route) {
+                          return route.name == throttle.first;
+                        });
+  });
   routes_ = std::make_shared<heathersteer::RouteTable>(*config_);
   TakeUpEarly();
 }
@@ -152,6 +159,10 @@
   }
 }
 
+heathersteer::OverloadThrottle& Gateway::Throttle(const std::string& route) {
+  return throttles_[route];
+}
+
 heathersteer::RetryBudget& Gateway::Budget(const std::string& service) {
   return budgets_.try_emplace(service, options_.retries).first->second;
 }
--- /dev/null
+++ b/src/libheathersteer/overload_throttle.cc
@@ -0,0 +1,55 @@
+#include "heathersteer/overload_throttle.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+
+// Age at which an end counts for 1/e.
+constexpr Duration kFade = std::chrono::seconds(1);
+// Requests that are sent for each one that is served, at most: a third of the
+// sends may fail before any request is rejected, and what is sent can grow by
+// half in each fade once servers recover.
+constexpr double kSentPerServed = 1.5;
+// Ends from which on their shares count.
+constexpr double kLeastEnded = 5;
+
+}  // namespace
+
+void OverloadThrottle::Served(Instant now) {
+  Fade(now);
+  ++ended_;
+  ++served_;
+}
+
+void OverloadThrottle::Overdue(Instant now) {
+  Fade(now);
+  ++ended_;
+}
+
+bool OverloadThrottle::Reject(Instant now, double random) {
+  Fade(now);
+  if (ended_ < kLeastEnded) {
+    return false;
+  }
+  const double share = (ended_ - kSentPerServed * served_) / (ended_ + 1);
+  if (random >= share) {
+    return false;
+  }
+  ++ended_;
+  return true;
+}
+
+void OverloadThrottle::Fade(Instant now) {
+  const double age = static_cast<double>((now - faded_at_).count());
+  const double left = std::exp(-age / static_cast<double>(kFade.count()));
+  ended_ *= left;
+  served_ *= left;
+  faded_at_ = now;
+}
+
+}  // namespace heathersteer
