--- a/src/heather-simulate/simulated_host.cc
+++ b/src/heather-simulate/simulated_host.cc
@@ -236,9 +236,11 @@
   }
 }
 
-void SimulatedHost::TakePeerLoad(const std::string& server_id, int requests) {
+void SimulatedHost::TakePeerLoad(const std::string& server_id,
+                                 int requests,
+                                 Instant reported_at) {
   if (const auto server = servers_.Find(server_id)) {
-    server->load.PeerReport(requests, events_.now());
+    server->load.PeerReport(requests, reported_at);
   }
 }
 
--- a/src/heather-simulate/simulated_host.h
+++ b/src/heather-simulate/simulated_host.h
@@ -76,7 +76,9 @@
   }
 
   /// A server reported so many requests to another host.
-  void TakePeerLoad(const std::string& server_id, int requests);
+  void TakePeerLoad(const std::string& server_id,
+                    int requests,
+                    heatherlever::Instant reported_at);
 
   /// The process ends and starts anew: what it held is lost.
   void Restart();
--- a/src/heather-simulate/simulation.cc
+++ b/src/heather-simulate/simulation.cc
@@ -133,10 +133,10 @@
       host->SetLoadListener(
           [this, from = host.get(), peers = by_domain[host->place().domain]](
               const std::string& server_id, int requests) {
-            events_.After(pattern_.load_news_delay, [=] {
+            events_.After(pattern_.load_news_delay, [=, at = events_.now()] {
               for (SimulatedHost* peer : peers) {
                 if (peer != from) {
-                  peer->TakePeerLoad(server_id, requests);
+                  peer->TakePeerLoad(server_id, requests, at);
                 }
               }
             });
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -14,6 +14,7 @@
 #include "heathergate/latency_histogram.h"
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
+#include "heathersteer/load_board.h"
 #include "heathersteer/overload_throttle.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
@@ -68,8 +69,9 @@
     load_listener_ = std::move(listener);
   }
 
-  /// A backend server reported so many requests to another host.
-  void TakePeerLoad(const std::string& server_id, int requests);
+  /// What a backend server reported to another host.
+  void TakePeerLoad(const std::string& server_id,
+                    const heathersteer::LoadBoard::Report& report);
 
   heathersteer::ServerTable& servers() { return servers_; }
   const heathersteer::ServerTable& servers() const { return servers_; }
--- a/src/include/heathergate/load_exchange.h
+++ b/src/include/heathergate/load_exchange.h
@@ -26,8 +26,10 @@
 /// only leaves a load unknown.
 class LoadExchange {
  public:
-  /// A server holds so many requests, as another host was told.
-  using News = std::function<void(const std::string& server_id, int requests)>;
+  /// What a server reported to another host.
+  using News =
+      std::function<void(const std::string& server_id,
+                         const heathersteer::LoadBoard::Report& report)>;
 
   /// Listens on a UDP port. Without one, which is logged, nothing is exchanged.
   LoadExchange(heathernet::EventLoop& loop,
@@ -49,6 +51,8 @@
 
   void Receive();
   void OnDatagram(std::size_t size);
+  void TakeFromFollower(const heathersteer::LoadBoard::Reports& reports,
+                        heatherlever::Instant now);
   void Tick();
   void TellLeader(heatherlever::Instant now);
   void TellFollowers(heatherlever::Instant now);
--- a/src/include/heathersteer/server_load.h
+++ b/src/include/heathersteer/server_load.h
@@ -18,9 +18,9 @@
   /// requests it runs and queues.
   void Report(int running, int waiting, heatherlever::Instant now);
 
-  /// The server reported so many requests to another host, shortly before. Own
-  /// reports that are nearly as new go before.
-  void PeerReport(int requests, heatherlever::Instant now);
+  /// The server reported so many requests to another host. Of two reports the
+  /// newer one counts.
+  void PeerReport(int requests, heatherlever::Instant reported_at);
 
   /// Requests at the server, estimated.
   double Estimate(heatherlever::Instant now) const;
@@ -36,8 +36,6 @@
   int own_ = 0;
   double others_ = 0;
   heatherlever::Instant reported_at_{0};
-  // When the server reported to this host.
-  heatherlever::Instant own_report_at_{0};
 };
 
 }  // namespace heathersteer
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -76,6 +76,7 @@
   const Instant now = EventLoop::Now();
   gateway_.Budget(service_.name).CountRequest(now);
   if (gateway_.Throttle(route_.name).Reject(now, gateway_.Random())) {
+    ++gateway_.counters_.throttled;
     Reject("servers run out of time");
     return;
   }
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -146,9 +146,11 @@
   placement_.set_hosts(hosts);
 }
 
-void Gateway::TakePeerLoad(const std::string& server_id, int requests) {
+void Gateway::TakePeerLoad(const std::string& server_id,
+                           const heathersteer::LoadBoard::Report& report) {
   if (const auto server = servers_.Find(server_id)) {
-    server->load.PeerReport(requests, EventLoop::Now());
+    server->load.PeerReport(report.requests, report.at);
+    ++counters_.peer_loads;
   }
 }
 
--- a/src/libheathergate/load_exchange.cc
+++ b/src/libheathergate/load_exchange.cc
@@ -54,9 +54,10 @@
     return !error;
   }
 
-  void Send(const heathersteer::LoadBoard::Reports& reports,
-            const udp::endpoint& to) {
-    const auto bytes = EncodeLoads(reports);
+  void Send(const LoadDatagram& datagram,
+            const udp::endpoint& to,
+            Instant now) {
+    const auto bytes = EncodeLoads(datagram, now);
     // A datagram that does not leave is as good as a lost one.
     std::error_code ignored;  // NOLINT
     socket.send_to(asio::buffer(bytes), to, 0, ignored);
@@ -89,11 +90,12 @@
   if (!socket_->socket.is_open()) {
     return;
   }
+  const heathersteer::LoadBoard::Report report{requests, EventLoop::Now()};
   if (socket_->leader) {
-    to_leader_.Note(server_id, requests);
+    to_leader_.Note(server_id, report);
   }
   if (!socket_->followers.empty()) {
-    to_followers_.Note(server_id, requests);
+    to_followers_.Note(server_id, report);
   }
 }
 
@@ -128,23 +130,35 @@
 }
 
 void LoadExchange::OnDatagram(std::size_t size) {
-  const auto reports = DecodeLoads(std::span(socket_->buffer.data(), size));
-  if (!reports) {
+  const Instant now = EventLoop::Now();
+  const auto datagram =
+      DecodeLoads(std::span(socket_->buffer.data(), size), now);
+  if (!datagram) {
     spdlog::warn("datagram of {} bytes from {} holds no loads", size,
                  socket_->sender.address().to_string());
     return;
   }
-  // What the followed host tells goes to followers only, or it would go round.
-  const bool from_leader = socket_->sender == socket_->leader;
-  if (!from_leader) {
-    socket_->followers[socket_->sender] = EventLoop::Now();
+  if (datagram->to_leader) {
+    TakeFromFollower(datagram->reports, now);
+  } else if (socket_->sender != socket_->leader) {
+    // An earlier leader goes on for a while; its reports come from this one
+    // too.
+    return;
+  }
+  for (const auto& [server, report] : datagram->reports) {
+    news_(server, report);
+    to_followers_.Note(server, report);
   }
-  for (const auto& [server, requests] : *reports) {
-    news_(server, requests);
-    if (!from_leader && socket_->leader) {
-      to_leader_.Note(server, requests);
+}
+
+void LoadExchange::TakeFromFollower(
+    const heathersteer::LoadBoard::Reports& reports,
+    Instant now) {
+  socket_->followers[socket_->sender] = now;
+  if (socket_->leader) {
+    for (const auto& [server, report] : reports) {
+      to_leader_.Note(server, report);
     }
-    to_followers_.Note(server, requests);
   }
 }
 
@@ -159,10 +173,10 @@
   if (!socket_->leader) {
     return;
   }
-  const auto reports = to_leader_.Take(kMostReports);
-  if (!reports.empty() || now - told_leader_at_ >= kKeepAlive) {
+  const LoadDatagram datagram{true, to_leader_.Take(kMostReports)};
+  if (!datagram.reports.empty() || now - told_leader_at_ >= kKeepAlive) {
     told_leader_at_ = now;
-    socket_->Send(reports, *socket_->leader);
+    socket_->Send(datagram, *socket_->leader, now);
   }
 }
 
@@ -170,12 +184,12 @@
   std::erase_if(socket_->followers, [&](const auto& follower) {
     return now - follower.second > kForget;
   });
-  const auto reports = to_followers_.Take(kMostReports);
-  if (reports.empty()) {
+  const LoadDatagram datagram{false, to_followers_.Take(kMostReports)};
+  if (datagram.reports.empty()) {
     return;
   }
   for (const auto& [follower, heard] : socket_->followers) {
-    socket_->Send(reports, follower);
+    socket_->Send(datagram, follower, now);
   }
 }
 
--- a/src/libheathersteer/load_board.cc
+++ b/src/libheathersteer/load_board.cc
@@ -2,8 +2,11 @@
 
 namespace heathersteer {
 
-void LoadBoard::Note(const std::string& server_id, int requests) {
-  pending_[server_id] = requests;
+void LoadBoard::Note(const std::string& server_id, const Report& report) {
+  Report& newest = pending_.try_emplace(server_id, report).first->second;
+  if (newest.at < report.at) {
+    newest = report;
+  }
 }
 
 LoadBoard::Reports LoadBoard::Take(std::size_t most) {
--- a/src/libheathersteer/server_load.cc
+++ b/src/libheathersteer/server_load.cc
@@ -13,10 +13,6 @@
 // times long, as those requests end and others take their place.
 constexpr Duration kReportFade = std::chrono::milliseconds(700);
 
-// Time for which an own report goes before those of other hosts, which are
-// about as old when they come.
-constexpr Duration kOwnReportHolds = std::chrono::milliseconds(150);
-
 }  // namespace
 
 void ServerLoad::Report(int running, int waiting, Instant now) {
@@ -24,15 +20,13 @@
   // just ended; own_ still counts it.
   others_ = std::max(0, running + waiting - own_);
   reported_at_ = now;
-  own_report_at_ = now;
 }
 
-void ServerLoad::PeerReport(int requests, Instant now) {
-  if (own_report_at_.count() > 0 && now - own_report_at_ < kOwnReportHolds) {
-    return;
+void ServerLoad::PeerReport(int requests, Instant reported_at) {
+  if (reported_at > reported_at_) {
+    others_ = std::max(0, requests - own_);
+    reported_at_ = reported_at;
   }
-  others_ = std::max(0, requests - own_);
-  reported_at_ = now;
 }
 
 double ServerLoad::Estimate(Instant now) const {
