--- a/src/include/heathersteer/server_load.h
+++ b/src/include/heathersteer/server_load.h
@@ -22,8 +22,10 @@
   /// newer one counts.
   void PeerReport(int requests, heatherlever::Instant reported_at);
 
-  /// Requests at the server, estimated.
-  double Estimate(heatherlever::Instant now) const;
+  /// Requests at the server, estimated; reports fade with its mean service
+  /// time, 0 if that is unknown.
+  double Estimate(heatherlever::Instant now,
+                  heatherlever::Duration service_time) const;
 
   int own() const { return own_; }
 
--- a/src/libheathersteer/server_load.cc
+++ b/src/libheathersteer/server_load.cc
@@ -9,9 +9,10 @@
 using heatherlever::Duration;
 using heatherlever::Instant;
 
-// Age at which a report of other hosts' requests counts for 1/e; some service
-// times long, as those requests end and others take their place.
-constexpr Duration kReportFade = std::chrono::milliseconds(700);
+// Age at which a report of other hosts' requests counts for 1/e, at least: some
+// service times, as those requests end and others take their place.
+constexpr Duration kLeastFade = std::chrono::milliseconds(700);
+constexpr int kFadeServiceTimes = 3;
 
 }  // namespace
 
@@ -29,10 +30,11 @@
   }
 }
 
-double ServerLoad::Estimate(Instant now) const {
+double ServerLoad::Estimate(Instant now, Duration service_time) const {
+  const Duration fade = std::max(kLeastFade, kFadeServiceTimes * service_time);
   const double age = static_cast<double>((now - reported_at_).count());
-  const double fade = std::exp(-age / static_cast<double>(kReportFade.count()));
-  return own_ + others_ * fade;
+  const double left = std::exp(-age / static_cast<double>(fade.count()));
+  return own_ + others_ * left;
 }
 
 }  // namespace heathersteer
