--- a/src/heather-simulate/load_pattern.cc
+++ b/src/heather-simulate/load_pattern.cc
@@ -157,8 +157,6 @@
   pattern.region_delay = top.Time("region_delay");
   pattern.between_delay = top.Time("between_delay");
   pattern.news_delay = top.Time("news_delay");
-  pattern.load_news_delay =
-      top.TimeOr("load_news_delay", pattern.load_news_delay);
   pattern.retry_ratio = top.Share("retry_ratio");
   pattern.retry_extra = Count(top, "retry_extra", 0);
   pattern.regions = ReadRegions(top);
--- a/src/heather-simulate/load_pattern.h
+++ b/src/heather-simulate/load_pattern.h
@@ -90,9 +90,6 @@
   heatherlever::Duration between_delay{0};
   /// Time until hosts know of a server that came or went.
   heatherlever::Duration news_delay{0};
-  /// Time until the hosts of a domain know what a server reported to one of
-  /// them; 0 if they are not told.
-  heatherlever::Duration load_news_delay{0};
   double retry_ratio = 0;
   double retry_extra = 0;
   std::vector<PatternRegion> regions;
--- a/src/heather-simulate/server_chooser.cc
+++ b/src/heather-simulate/server_chooser.cc
@@ -87,7 +87,7 @@
     PlacementChoice choice;
     double least = 0;
     for (const auto& state : Untried(table, request)) {
-      const double load = state->EstimatedLoad(now) / state->server.slots +
+      const double load = state->load.Estimate(now) / state->server.slots +
                           (state->server.region == region_ ? 0 : kFarLoad);
       if (choice.server == nullptr || load < least) {
         choice.server = state;
--- a/src/heather-simulate/simulated_host.cc
+++ b/src/heather-simulate/simulated_host.cc
@@ -217,33 +217,17 @@
   heathersteer::ServerState& server = *request.server;
   switch (answer.outcome) {
     case AttemptOutcome::kAnswered:
-      TakeReport(server, answer);
+      server.load.Report(answer.running, answer.waiting, now);
       server.evidence.Answered(now - request.sent_at, now);
       return;
     case AttemptOutcome::kNotExecuted:
-      TakeReport(server, answer);
+      server.load.Report(answer.running, answer.waiting, now);
       return;
     default:
       server.evidence.Failed(now);
   }
 }
 
-void SimulatedHost::TakeReport(heathersteer::ServerState& server,
-                               const ServerAnswer& answer) {
-  server.load.Report(answer.running, answer.waiting, events_.now());
-  if (load_listener_) {
-    load_listener_(server.server.id, answer.running + answer.waiting);
-  }
-}
-
-void SimulatedHost::TakePeerLoad(const std::string& server_id,
-                                 int requests,
-                                 Instant reported_at) {
-  if (const auto server = servers_.Find(server_id)) {
-    server->load.PeerReport(requests, reported_at);
-  }
-}
-
 void SimulatedHost::CountEnd(const Request& request, AttemptEnd end) {
   heathersteer::OverloadThrottle& throttle = throttles_[request.route.name];
   if (end == AttemptEnd::kServed) {
--- a/src/heather-simulate/simulated_host.h
+++ b/src/heather-simulate/simulated_host.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <random>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "heather-simulate/server_chooser.h"
@@ -68,18 +67,6 @@
   /// The list of servers changed.
   void SetServers(const std::vector<heathersteer::BackendServer>& servers);
 
-  /// Told of each load that a server reports to this host.
-  using LoadListener =
-      std::function<void(const std::string& server_id, int requests)>;
-  void SetLoadListener(LoadListener listener) {
-    load_listener_ = std::move(listener);
-  }
-
-  /// A server reported so many requests to another host.
-  void TakePeerLoad(const std::string& server_id,
-                    int requests,
-                    heatherlever::Instant reported_at);
-
   /// The process ends and starts anew: what it held is lost.
   void Restart();
 
@@ -101,8 +88,6 @@
             const std::shared_ptr<heathersteer::ServerState>& server);
   void OnAnswer(const RequestPtr& request, const ServerAnswer& answer);
   void TakeEvidence(const Request& request, const ServerAnswer& answer);
-  void TakeReport(heathersteer::ServerState& server,
-                  const ServerAnswer& answer);
   void CountEnd(const Request& request, AttemptEnd end);
   void Reject(const RequestPtr& request);
   void End(const RequestPtr& request,
@@ -118,7 +103,6 @@
   HostPlace place_;
   std::mt19937_64 random_;
   ServerLookup lookup_;
-  LoadListener load_listener_;
   heathersteer::Placement placement_;
   std::unique_ptr<ServerChooser> chooser_;
   int hosts_;
--- a/src/heather-simulate/simulation.cc
+++ b/src/heather-simulate/simulation.cc
@@ -35,7 +35,6 @@
       AddFirstServers(service);
     }
     AddHosts(chooser);
-    ConnectHosts();
     PublishServers();
   }
 
@@ -121,29 +120,6 @@
     }
   }
 
-  void ConnectHosts() {
-    if (pattern_.load_news_delay.count() == 0) {
-      return;
-    }
-    std::map<std::string, std::vector<SimulatedHost*>> by_domain;
-    for (const auto& host : hosts_) {
-      by_domain[host->place().domain].push_back(host.get());
-    }
-    for (const auto& host : hosts_) {
-      host->SetLoadListener(
-          [this, from = host.get(), peers = by_domain[host->place().domain]](
-              const std::string& server_id, int requests) {
-            events_.After(pattern_.load_news_delay, [=, at = events_.now()] {
-              for (SimulatedHost* peer : peers) {
-                if (peer != from) {
-                  peer->TakePeerLoad(server_id, requests, at);
-                }
-              }
-            });
-          });
-    }
-  }
-
   void PublishServers() {
     std::vector<BackendServer> records;
     for (const auto& [id, server] : servers_) {
--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -39,8 +39,6 @@
       on_servers;
   /// Number of registered entry hosts.
   std::function<void(int)> on_host_count;
-  /// The host that is followed from now on; nullptr for none.
-  std::function<void(const heathersteer::HostRecord*)> on_followed;
 };
 
 /// Keeps an entry host informed of the operator's state, the backend servers
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -14,7 +14,6 @@
 #include "heathergate/latency_histogram.h"
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
-#include "heathersteer/load_board.h"
 #include "heathersteer/overload_throttle.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
@@ -62,17 +61,6 @@
   /// Number of entry hosts, which share budgets and rates.
   void SetHosts(int hosts);
 
-  /// Told of each load that a backend server reports with an answer.
-  using LoadListener =
-      std::function<void(const std::string& server_id, int requests)>;
-  void SetLoadListener(LoadListener listener) {
-    load_listener_ = std::move(listener);
-  }
-
-  /// What a backend server reported to another host.
-  void TakePeerLoad(const std::string& server_id,
-                    const heathersteer::LoadBoard::Report& report);
-
   heathersteer::ServerTable& servers() { return servers_; }
   const heathersteer::ServerTable& servers() const { return servers_; }
 
@@ -127,7 +115,6 @@
   std::map<std::string, heathersteer::OverloadThrottle> throttles_;
   std::map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
   std::map<std::uint64_t, ForwardedRequest*> waiting_;
-  LoadListener load_listener_;
   GatewayCounters counters_;
   std::map<int, LatencyHistogram> latencies_;
   std::mt19937_64 random_;
--- a/src/include/heathergate/gateway_counters.h
+++ b/src/include/heathergate/gateway_counters.h
@@ -22,8 +22,6 @@
   std::uint64_t broken = 0;
   /// Rejected since most requests of the route ran out of time.
   std::uint64_t throttled = 0;
-  /// Loads of servers that other hosts told.
-  std::uint64_t peer_loads = 0;
 };
 
 }  // namespace heathergate
--- a/src/include/heathersteer/server_load.h
+++ b/src/include/heathersteer/server_load.h
@@ -18,14 +18,8 @@
   /// requests it runs and queues.
   void Report(int running, int waiting, heatherlever::Instant now);
 
-  /// The server reported so many requests to another host. Of two reports the
-  /// newer one counts.
-  void PeerReport(int requests, heatherlever::Instant reported_at);
-
-  /// Requests at the server, estimated; reports fade with its mean service
-  /// time, 0 if that is unknown.
-  double Estimate(heatherlever::Instant now,
-                  heatherlever::Duration service_time) const;
+  /// Requests at the server, estimated.
+  double Estimate(heatherlever::Instant now) const;
 
   int own() const { return own_; }
 
--- a/src/include/heathersteer/server_state.h
+++ b/src/include/heathersteer/server_state.h
@@ -19,11 +19,6 @@
   /// Whether the platform's list still names the server.
   bool listed = true;
 
-  /// Requests at the server, estimated.
-  double EstimatedLoad(heatherlever::Instant now) const {
-    return load.Estimate(now, evidence.mean_time());
-  }
-
   /// Whether the server bears only the rate of a cold one.
   bool cold(heatherlever::Instant now) const {
     return now < server.cold_until || evidence.on_probation(now);
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -250,7 +250,6 @@
   if (name != following_) {
     spdlog::info("news come from {}", host ? name : "the store");
     followed_instance_.clear();
-    listener_.on_followed(host ? &*host : nullptr);
     // The next host of the order takes over with the hosts known so far.
     for (const std::string& front : std::exchange(followed_fronts_, {})) {
       live_.Heard(front, front != order_.self().front, now);
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -238,10 +238,6 @@
       ParseLoadReport(result.head.Value(gateway_.options_.names.server_load));
   if (load) {
     server_->load.Report(load->running, load->waiting, now);
-    if (gateway_.load_listener_) {
-      gateway_.load_listener_(server_->server.id,
-                              load->running + load->waiting);
-    }
   }
   if (outcome != AttemptOutcome::kNotExecuted) {
     evidence.Answered(now - sent_at_, now);
@@ -397,7 +393,7 @@
       "request id={} finds no room: candidates={} first={} load={:.1f} "
       "own={} limit={:.1f} report_age_ms={}",
       id_, last_choice_.candidates, preferred->server.id,
-      preferred->EstimatedLoad(now), preferred->load.own(),
+      preferred->load.Estimate(now), preferred->load.own(),
       gateway_.placement_.Limit(*preferred, route_, now),
       Milliseconds(preferred->load.report_age(now)));
 }
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -146,14 +146,6 @@
   placement_.set_hosts(hosts);
 }
 
-void Gateway::TakePeerLoad(const std::string& server_id,
-                           const heathersteer::LoadBoard::Report& report) {
-  if (const auto server = servers_.Find(server_id)) {
-    server->load.PeerReport(report.requests, report.at);
-    ++counters_.peer_loads;
-  }
-}
-
 void Gateway::SetRetryOptions(const heathersteer::RetryBudgetOptions& retries) {
   options_.retries = retries;
   for (auto& [service, budget] : budgets_) {
--- a/src/libheathergate/metrics_text.cc
+++ b/src/libheathergate/metrics_text.cc
@@ -14,7 +14,7 @@
   std::uint64_t GatewayCounters::*value;
 };
 
-constexpr std::array<Counter, 12> kCounters = {{
+constexpr std::array<Counter, 11> kCounters = {{
     {"heather_requests_total", &GatewayCounters::requests},
     {"heather_delivered_total", &GatewayCounters::delivered},
     {"heather_rejected_total", &GatewayCounters::rejected},
@@ -26,7 +26,6 @@
     {"heather_server_refusals_total", &GatewayCounters::refused_by_server},
     {"heather_broken_sends_total", &GatewayCounters::broken},
     {"heather_throttled_total", &GatewayCounters::throttled},
-    {"heather_peer_loads_total", &GatewayCounters::peer_loads},
 }};
 
 void WriteHistogram(std::ostringstream& text,
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -157,7 +157,7 @@
     return;
   }
   const ServerState& state = *candidate.server;
-  const double load = state.EstimatedLoad(now);
+  const double load = state.load.Estimate(now);
   if (load < state.server.slots) {
     option = {candidate.server, rank, true, 0};
     return;
--- a/src/libheathersteer/server_load.cc
+++ b/src/libheathersteer/server_load.cc
@@ -9,10 +9,9 @@
 using heatherlever::Duration;
 using heatherlever::Instant;
 
-// Age at which a report of other hosts' requests counts for 1/e, at least: some
-// service times, as those requests end and others take their place.
-constexpr Duration kLeastFade = std::chrono::milliseconds(700);
-constexpr int kFadeServiceTimes = 3;
+// Age at which a report of other hosts' requests counts for 1/e; some service
+// times long, as those requests end and others take their place.
+constexpr Duration kReportFade = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -23,18 +22,10 @@
   reported_at_ = now;
 }
 
-void ServerLoad::PeerReport(int requests, Instant reported_at) {
-  if (reported_at > reported_at_) {
-    others_ = std::max(0, requests - own_);
-    reported_at_ = reported_at;
-  }
-}
-
-double ServerLoad::Estimate(Instant now, Duration service_time) const {
-  const Duration fade = std::max(kLeastFade, kFadeServiceTimes * service_time);
+double ServerLoad::Estimate(Instant now) const {
   const double age = static_cast<double>((now - reported_at_).count());
-  const double left = std::exp(-age / static_cast<double>(fade.count()));
-  return own_ + others_ * left;
+  const double fade = std::exp(-age / static_cast<double>(kReportFade.count()));
+  return own_ + others_ * fade;
 }
 
 }  // namespace heathersteer
--- a/testsuite/gateway/load_test.py
+++ b/testsuite/gateway/load_test.py
@@ -1,5 +1,4 @@
 import threading
-import time
 import unittest
 
 from gateway_harness import GatewayTestCase, config, route
@@ -14,50 +13,6 @@
         self.assertEqual(status, 200)
         return next(float(line.split()[1]) for line in text.decode().splitlines() if line.startswith(name + " "))
 
-    def await_metric(self, host, name):
-        for _ in range(2000):
-            if self.metric(host, name) > 0:
-                return
-        self.fail(f"{name} of {host.name} stays 0")
-
-    def check_told(self, teller, hearer, backend):
-        """What the server reports to one host keeps the other from sending."""
-        stop = threading.Event()
-
-        def keep_asking():
-            while not stop.is_set():
-                teller.request("/x/1")
-                time.sleep(0.02)
-
-        thread = threading.Thread(target=keep_asking)
-        thread.start()
-        try:
-            self.await_metric(hearer, "heather_peer_loads_total")
-            status, headers, _ = hearer.request("/x/1", request_id="late")
-        finally:
-            stop.set()
-            thread.join()
-        self.assertEqual(status, 503)
-        self.assertIn("Retry-After", headers)
-        self.assertNotIn("late", backend.runs)
-
-    def test_loads_reach_followers(self):
-        backend = self.backend("i-1", "report_full")
-        first = self.started_host("h1")
-        second = self.started_host("h2")
-        second.await_log("news come from h1")
-        second.await_log("backend server i-1 ")
-        self.check_told(first, second, backend)
-
-    def test_loads_reach_the_followed_host(self):
-        backend = self.backend("i-1", "report_full")
-        first = self.started_host("h1")
-        first.await_log("backend server i-1 ")
-        second = self.started_host("h2")
-        second.await_log("news come from h1")
-        second.await_log("backend server i-1 ")
-        self.check_told(second, first, backend)
-
     def test_requests_are_rejected_while_most_run_out_of_time(self):
         def silent(request, connection):
             connection.recv(1)
--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -208,11 +208,6 @@
     def shed(self, request, connection):
         return b"HTTP/1.1 503 Service Unavailable\r\n" + NOT_EXECUTED.encode() + b": 1\r\nContent-Length: 0\r\n\r\n"
 
-    def report_full(self, request, connection):
-        """Answers, and reports a load far above its slots."""
-        self.run(request)
-        return answer(request, b"from " + self.name.encode(), extra="Heatherlever-Server-Load: 3,60,3\r\n")
-
     def run_and_close(self, request, connection):
         self.run(request)
         return None
