--- a/src/heather-simulate/load_pattern.cc
+++ b/src/heather-simulate/load_pattern.cc
@@ -159,6 +159,7 @@
   pattern.news_delay = top.Time("news_delay");
   pattern.retry_ratio = top.Share("retry_ratio");
   pattern.retry_extra = Count(top, "retry_extra", 0);
+  pattern.throttling = top.FlagOr("throttling", pattern.throttling);
   pattern.regions = ReadRegions(top);
   std::set<std::string> names;
   for (YamlMap& map : top.Maps("services", "service")) {
--- a/src/heather-simulate/load_pattern.h
+++ b/src/heather-simulate/load_pattern.h
@@ -92,6 +92,8 @@
   heatherlever::Duration news_delay{0};
   double retry_ratio = 0;
   double retry_extra = 0;
+  /// Whether hosts reject requests of kinds that run out of time.
+  bool throttling = true;
   std::vector<PatternRegion> regions;
   std::vector<PatternService> services;
   std::vector<PatternKind> kinds;
--- a/src/heather-simulate/simulated_host.cc
+++ b/src/heather-simulate/simulated_host.cc
@@ -104,7 +104,8 @@
     End(request, AttemptEnd::kFailed, Duration(0));
   });
   const double random = std::uniform_real_distribution<double>(0, 1)(random_);
-  if (throttles_[request->route.name].Reject(events_.now(), random)) {
+  if (pattern_.throttling &&
+      throttles_[request->route.name].Reject(events_.now(), random)) {
     Reject(request);
     return;
   }
--- a/src/heather-simulate/simulation_test.cc
+++ b/src/heather-simulate/simulation_test.cc
@@ -35,6 +35,7 @@
                          ::testing::Values("burst",
                                            "cold-return",
                                            "host-restart",
+                                           "many-hosts",
                                            "rolling-wave",
                                            "scale-out"),
                          [](const auto& test) {
@@ -104,6 +105,17 @@
   }
 }
 
+// Servers that are full of work which ends at its deadline leave that state
+// sooner if hosts send less.
+TEST(SimulationThrottlingTest, MoreIsServedInTimeAndLessRunsOutOfIt) {
+  LoadPattern pattern = Pattern("many-hosts");
+  const auto throttled = Simulate(pattern, ChooserKind::kPlacement).Total();
+  pattern.throttling = false;
+  const auto unthrottled = Simulate(pattern, ChooserKind::kPlacement).Total();
+  EXPECT_GT(throttled.in_target_share(), unthrottled.in_target_share());
+  EXPECT_LT(throttled.failed, unthrottled.failed);
+}
+
 TEST(SimulationRecoveryTest, ServesAsBeforeAfterAllHostsHaveRestarted) {
   const LoadPattern pattern = Pattern("host-restart");
   const LoadOutcome outcome = Simulate(pattern, ChooserKind::kPlacement);
--- a/src/include/heathersteer/overload_throttle.h
+++ b/src/include/heathersteer/overload_throttle.h
@@ -16,7 +16,7 @@
   /// A request was served.
   void Served(heatherlever::Instant now);
 
-  /// A request ran out of time at a server, or servers were too full for it.
+  /// A request ran out of time at a server.
   void Overdue(heatherlever::Instant now);
 
   /// Whether the next request is to be rejected; `random` is between 0 and 1.
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -263,7 +263,6 @@
       Place();
       return;
     case NextStep::kReject:
-      gateway_.Throttle(route_.name).Overdue(EventLoop::Now());
       Reject("no server took it");
       return;
     case NextStep::kFail:
