--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -46,15 +46,17 @@
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.write_settings()
-        arguments = [PROGRAM, "--settings", self.file.name, "--metrics-port", str(self.metrics)]
+        self.arguments = [PROGRAM, "--settings", self.file.name, "--metrics-port", str(self.metrics)]
         if rules is not None:
-            arguments += ["--rules", rules]
+            self.arguments += ["--rules", rules]
         self.lines = queue.Queue()
         self.history = []
-        self.process = subprocess.Popen(
-            arguments, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
-        )
-        threading.Thread(target=self.read_log, daemon=True).start()
+        self.start()
+
+    def start(self):
+        """Starts the process, also again after it has ended."""
+        self.process = subprocess.Popen(self.arguments, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        threading.Thread(target=self.read_log, args=(self.process.stdout,), daemon=True).start()
 
     def write_settings(self):
         self.file.seek(0)
@@ -62,8 +64,8 @@
         json.dump(self.settings, self.file)
         self.file.flush()
 
-    def read_log(self):
-        for line in self.process.stdout:
+    def read_log(self, output):
+        for line in output:
             self.lines.put(line)
 
     def await_log(self, text, timeout_s=START_TIMEOUT_S):
--- /dev/null
+++ b/testsuite/soak/promises_test.py
@@ -0,0 +1,52 @@
+"""The soak's checks find what they are for."""
+
+import threading
+import unittest
+
+from actors import broken_promises
+from standins import REQUEST_ID, SEAL
+
+
+class FakeBackend:
+    def __init__(self, runs=(), seen=(), bodies=None):
+        self.condition = threading.Condition()
+        self.runs = list(runs)
+        self.seen = list(seen)
+        self.bodies = bodies or {}
+
+
+def attempt(request_id, status, idempotent=False, received=b"whole", headers=None):
+    line = "POST /w/1 HTTP/1.1"
+    return (request_id, idempotent, line, b"b", status, headers or {REQUEST_ID: request_id, SEAL: "s"}, received)
+
+
+class PromisesTest(unittest.TestCase):
+    def findings(self, attempts, backend):
+        return broken_promises(attempts, [backend], [])
+
+    def test_kept_promises_give_no_finding(self):
+        backend = FakeBackend(["a", "i", "i"], [("POST /w/1 HTTP/1.1", {REQUEST_ID.lower(): "a"}, b"b")],
+                              {"a": b"whole", "i": b"whole"})
+        self.assertEqual([], self.findings([attempt("a", 200), attempt("i", 200, True), attempt("n", 503)], backend))
+
+    def test_a_second_run_is_found(self):
+        self.assertEqual(1, len(self.findings([attempt("a", 502)], FakeBackend(["a", "a"]))))
+
+    def test_a_false_statement_of_not_run_is_found(self):
+        for status in (408, 421, 429, 503):
+            self.assertEqual(1, len(self.findings([attempt("a", status)], FakeBackend(["a"]))))
+
+    def test_a_foreign_cut_or_unsealed_answer_is_found(self):
+        backend = FakeBackend(["a"], bodies={"a": b"whole"})
+        for wrong in (attempt("a", 200, received=b"who"), attempt("a", 200, received=b"other"),
+                      attempt("a", 200, headers={REQUEST_ID: "a"}), attempt("a", 200, headers={REQUEST_ID: "b", SEAL: "s"})):
+            self.assertEqual(1, len(self.findings([wrong], backend)))
+
+    def test_a_changed_or_unsent_request_is_found(self):
+        changed = FakeBackend(seen=[("POST /w/2 HTTP/1.1", {REQUEST_ID.lower(): "a"}, b"b")])
+        self.assertEqual(1, len(self.findings([attempt("a", 502)], changed)))
+        self.assertEqual(1, len(self.findings([], FakeBackend(["z"]))))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testsuite/soak/soak.py
@@ -0,0 +1,332 @@
+"""A fault soak: real processes on one machine, faults from outside drawn from a seed, and the promises checked by what
+callers and backend servers saw. `python3 soak.py --help` lists the options."""
+
+import argparse
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from actors import Callers, SoakBackend, SoakStore, broken_promises, send
+from gateway_harness import Host, config, route
+from links import LinkSet
+
+DOMAINS = ("d-a", "d-a", "d-b", "e-a")
+BACKENDS = 4
+# Time for hosts to serve again once every fault is over; far above what they need, as it only ends a run that hangs.
+RECOVERY_S = 40
+# Time within which a host ends after a stop signal: the grace of its settings and the time to be scheduled.
+GRACE_S = 12
+# Pauses between faults, and how long each lasts.
+PAUSE_S = (0.1, 0.9)
+FAULT_S = (0.3, 2.5)
+
+
+def soak_config(version):
+    routes = {"read": route(timeout="2000ms"), "write": route("non_idempotent", "/w/", timeout="2000ms")}
+    routes[f"version-{version}"] = route(prefix=f"/v{version}/", timeout="2000ms")
+    return config(version, **routes)
+
+
+class Soak:
+    """One run. `findings` holds what was broken when it is over."""
+
+    def __init__(self, seed):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.links = LinkSet()
+        self.store = SoakStore()
+        self.version = 1
+        self.store.put("op", "config", soak_config(1))
+        self.backends = [SoakBackend(f"i-{n}", f"{seed}-{n}") for n in range(BACKENDS)]
+        self.backend_links = [self.links.link(backend.port) for backend in self.backends]
+        for n in range(BACKENDS):
+            self.register(n)
+        self.store_links = [self.links.link(self.store.port) for _ in DOMAINS]
+        self.hosts = [Host(f"h{n}", self.store_links[n].port, domain=domain) for n, domain in enumerate(DOMAINS)]
+        self.faults = []
+        self.own_ids = []
+        self.findings = []
+
+    def register(self, n, state="ready"):
+        row = self.backends[n].row(domain=DOMAINS[n], state=state)
+        row["address"] = f"127.0.0.1:{self.backend_links[n].port}"
+        self.store.put("servers", f"i-{n}", row)
+
+    def run(self, seconds):
+        for host in self.hosts:
+            host.await_log("in force")
+        callers = Callers(self.hosts, self.seed)
+        callers.start()
+        try:
+            self.play(seconds)
+        finally:
+            callers.stop()
+        self.findings += self.check_recovery()
+        self.findings += self.check_drain()
+        self.findings += broken_promises(callers.attempts, self.backends, self.own_ids)
+        self.answered = sum(attempt[4] == 200 for attempt in callers.attempts)
+        self.attempted = len(callers.attempts)
+        if not self.answered:
+            self.findings.append("nothing was answered")
+
+    def play(self, seconds):
+        """Begins and ends faults until the time is over, then ends what goes on."""
+        end = time.monotonic() + seconds
+        going_on = []
+        while time.monotonic() < end:
+            name = self.random.choice(sorted(FAULTS))
+            heal = FAULTS[name](self)
+            self.faults.append(name)
+            if heal:
+                going_on.append((time.monotonic() + self.random.uniform(*FAULT_S), heal))
+            time.sleep(self.random.uniform(*PAUSE_S))
+            for fault in [each for each in going_on if each[0] <= time.monotonic()]:
+                going_on.remove(fault)
+                fault[1]()
+        for _, heal in going_on:
+            heal()
+        for link in self.backend_links + self.store_links:
+            link.heal()
+        self.store.heal()
+        for n, backend in enumerate(self.backends):
+            backend.mode = "ok"
+            self.register(n)
+
+    def check_recovery(self):
+        """Every host serves the newest configuration once all faults are over."""
+        self.change_config()
+        end = time.monotonic() + RECOVERY_S
+        findings = []
+        for host in self.hosts:
+            status = None
+            while status != 200 and time.monotonic() < end:
+                status = self.ask(host, f"/v{self.version}/1", "1")
+                time.sleep(0.05)
+            if status != 200:
+                findings.append(f"{host.name} answers {status} after all faults are over")
+        return findings
+
+    def check_drain(self):
+        """A server that every host knows to be leaving gets no request."""
+        self.register(0, "draining")
+        for host in self.hosts:
+            self.await_line(host, "backend server i-0 ", "draining")
+        before = len(self.backends[0].seen)
+        for host in self.hosts:
+            for key in range(12):
+                self.ask(host, "/x/1", str(key))
+        late = len(self.backends[0].seen) - before
+        return [f"{late} requests reached a server that was leaving"] if late else []
+
+    def ask(self, host, path, key):
+        self.own_ids.append(f"check-{len(self.own_ids)}")
+        return send(host, "GET", path, b"", self.own_ids[-1], key)[0]
+
+    def await_line(self, host, *parts):
+        """Waits until the last line about the first part holds the others, too."""
+        end = time.monotonic() + RECOVERY_S
+        while time.monotonic() < end:
+            while not host.lines.empty():
+                host.history.append(host.lines.get())
+            about = [line for line in host.history if parts[0] in line]
+            if about and all(part in about[-1] for part in parts):
+                return
+            time.sleep(0.05)
+        self.findings.append(f"{host.name} never wrote {parts}")
+
+    def change_config(self):
+        self.version += 1
+        self.store.put("op", "config", soak_config(self.version))
+
+    def restart(self, host):
+        # It may have been frozen since.
+        host.process.send_signal(signal.SIGCONT)
+        try:
+            host.process.wait(GRACE_S)
+        except subprocess.TimeoutExpired:
+            self.findings.append(f"{host.name} did not end within {GRACE_S} s of a stop signal")
+            host.process.kill()
+            host.process.wait()
+        host.start()
+
+    def close(self):
+        for host in self.hosts:
+            if host.process.poll() is None:
+                host.process.send_signal(signal.SIGCONT)
+            host.stop()
+        for backend in self.backends:
+            backend.close()
+        self.store.close()
+        self.links.close()
+
+    def logs(self):
+        """Writes the hosts' logs into a new folder and returns its path."""
+        folder = tempfile.mkdtemp(prefix=f"heather-soak-{self.seed}-")
+        for host in self.hosts:
+            while not host.lines.empty():
+                host.history.append(host.lines.get())
+            with open(f"{folder}/{host.name}.log", "w", encoding="utf-8") as file:
+                file.writelines(host.history)
+        return folder
+
+
+# Faults begin when called; what they return ends them.
+
+def kill_host(soak):
+    host = soak.random.choice(soak.hosts)
+    if host.process.poll() is not None:
+        return None
+    host.process.send_signal(signal.SIGKILL)
+    return lambda: soak.restart(host)
+
+
+def stop_host(soak):
+    host = soak.random.choice(soak.hosts)
+    if host.process.poll() is not None:
+        return None
+    host.process.send_signal(signal.SIGCONT)
+    host.process.terminate()
+    return lambda: soak.restart(host)
+
+
+def freeze_host(soak):
+    host = soak.random.choice(soak.hosts)
+    if host.process.poll() is not None:
+        return None
+    host.process.send_signal(signal.SIGSTOP)
+    return lambda: host.process.poll() is None and host.process.send_signal(signal.SIGCONT)
+
+
+def reload_host(soak):
+    host = soak.random.choice(soak.hosts)
+    if host.process.poll() is None:
+        host.process.send_signal(signal.SIGHUP)
+
+
+def store_down(soak):
+    soak.store.down = True
+    return soak.store.heal
+
+
+def store_slow(soak):
+    soak.store.delay_s = 0.5
+    return soak.store.heal
+
+
+def store_loses_answers(soak):
+    soak.store.lose_answers = True
+    return soak.store.heal
+
+
+def store_forgets(soak):
+    soak.store.forget_history()
+
+
+def store_refuses_a_host(soak):
+    link = soak.random.choice(soak.store_links)
+    link.refused = True
+    link.reset()
+    return link.heal
+
+
+def store_cut_one_way(soak):
+    link = soak.random.choice(soak.store_links)
+    link.cut = soak.random.choice(("up", "down"))
+    return link.heal
+
+
+def store_connections_go_silent(soak):
+    soak.random.choice(soak.store_links).silence()
+
+
+def server_cut_one_way(soak):
+    link = soak.random.choice(soak.backend_links)
+    link.cut = soak.random.choice(("up", "down"))
+    return link.heal
+
+
+def server_far(soak):
+    link = soak.random.choice(soak.backend_links)
+    link.delay_s = 0.15
+    return link.heal
+
+
+def server_connections_reset(soak):
+    soak.random.choice(soak.backend_links).reset()
+
+
+def server_connections_go_silent(soak):
+    soak.random.choice(soak.backend_links).silence()
+
+
+def server_misbehaves(soak):
+    backend = soak.random.choice(soak.backends)
+    backend.mode = soak.random.choice(SoakBackend.MODES)
+
+    def heal():
+        backend.mode = "ok"
+    return heal
+
+
+def server_drains(soak):
+    n = soak.random.randrange(BACKENDS)
+    soak.register(n, "draining")
+    return lambda: soak.register(n)
+
+
+def server_leaves(soak):
+    n = soak.random.randrange(BACKENDS)
+    soak.store.delete("servers", f"i-{n}")
+    return lambda: soak.register(n)
+
+
+def change_config(soak):
+    soak.change_config()
+
+
+FAULTS = {
+    function.__name__: function
+    for function in (
+        kill_host, stop_host, freeze_host, reload_host, store_down, store_slow, store_loses_answers, store_forgets,
+        store_refuses_a_host, store_cut_one_way, store_connections_go_silent, server_cut_one_way, server_far,
+        server_connections_reset, server_connections_go_silent, server_misbehaves, server_drains, server_leaves,
+        change_config,
+    )
+}
+
+
+def play(seed, seconds):
+    """Plays one seed and prints its verdict; returns whether no promise was broken."""
+    soak = Soak(seed)
+    try:
+        soak.run(seconds)
+        verdict = "kept" if not soak.findings else "BROKEN"
+        print(f"seed {seed}: {verdict}; {soak.answered} of {soak.attempted} attempts answered, "
+              f"{len(soak.faults)} faults", flush=True)
+        for finding in soak.findings:
+            print("  " + finding)
+        if soak.findings:
+            print(f"  faults: {', '.join(soak.faults)}\n  logs: {soak.logs()}", flush=True)
+        return not soak.findings
+    finally:
+        soak.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(
+        description=__doc__, epilog="example: HEATHER_BIN_DIR=build/release/bin python3 soak.py --first 100 --seeds 50")
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds, one after the other")
+    parser.add_argument("--seconds", type=float, default=10, help="time of faults in each run")
+    arguments = parser.parse_args()
+    broken = [seed for seed in range(arguments.first, arguments.first + arguments.seeds)
+              if not play(seed, arguments.seconds)]
+    print(f"{arguments.seeds - len(broken)} passed, {len(broken)} failed")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
