--- a/src/heatherctl/request_trace.cc
+++ b/src/heatherctl/request_trace.cc
@@ -24,6 +24,9 @@
     ReasonMeaning{"no server took it",
                   "every server tried refused it or could not be reached, and "
                   "no repeat was allowed; it has not run"},
+    ReasonMeaning{"servers run out of time",
+                  "most requests of the route ended at their deadline lately, "
+                  "so a part is rejected before it is sent; it has not run"},
     ReasonMeaning{"outcome unknown",
                   "the exchange with the last server broke after the request "
                   "was sent: it may have run"},
