--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -4,6 +4,7 @@
 import json
 import os
 import queue
+import random
 import signal
 import socket
 import subprocess
@@ -18,8 +19,17 @@
 START_TIMEOUT_S = 30
 
 
+# Below the ports that the kernel gives to outgoing connections, which could take a host's port while it restarts.
+FIRST_PORT, LAST_PORT = 10000, 32000
+
+
 def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    sockets = []
+    while len(sockets) < count:
+        try:
+            sockets.append(socket.create_server(("127.0.0.1", random.randint(FIRST_PORT, LAST_PORT))))
+        except OSError:
+            continue  # In use.
     ports = [each.getsockname()[1] for each in sockets]
     for each in sockets:
         each.close()
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -141,7 +141,10 @@
         self.version += 1
         self.store.put("op", "config", soak_config(self.version))
 
-    def restart(self, host):
+    def restart(self, host, process):
+        """Starts the host anew once `process` has ended, unless an earlier fault's end has done so."""
+        if host.process is not process:
+            return
         # It may have been frozen since.
         host.process.send_signal(signal.SIGCONT)
         try:
@@ -179,17 +182,19 @@
     host = soak.random.choice(soak.hosts)
     if host.process.poll() is not None:
         return None
-    host.process.send_signal(signal.SIGKILL)
-    return lambda: soak.restart(host)
+    process = host.process
+    process.send_signal(signal.SIGKILL)
+    return lambda: soak.restart(host, process)
 
 
 def stop_host(soak):
     host = soak.random.choice(soak.hosts)
     if host.process.poll() is not None:
         return None
-    host.process.send_signal(signal.SIGCONT)
-    host.process.terminate()
-    return lambda: soak.restart(host)
+    process = host.process
+    process.send_signal(signal.SIGCONT)
+    process.terminate()
+    return lambda: soak.restart(host, process)
 
 
 def freeze_host(soak):
