Ignore reloads until the host runs

Cause: a SIGHUP that came while the program read its settings or bound its ports ended the process, as its handler was not yet set. Ruled out: the harness's restart (the log ends with 'stopped', the next process wrote nothing), a port in use (it would be in the log). A signal before the program's first line still ends it, as for any program.

--- a/testsuite/gateway/configuration_test.py
+++ b/testsuite/gateway/configuration_test.py
@@ -1,8 +1,11 @@
+import json
+import os
 import signal
+import subprocess
 import tempfile
 import unittest
 
-from gateway_harness import GatewayTestCase, config, route
+from gateway_harness import PROGRAM, GatewayTestCase, config, route
 
 
 class ConfigurationTest(GatewayTestCase):
@@ -110,6 +113,22 @@
         self.assertEqual(host.request("/x/1")[0], 503)
         self.assertEqual(self.metric(host, "heather_repeats_total"), 1)
 
+    def test_a_reload_during_the_start_does_not_end_the_host(self):
+        host = self.started_host()
+        host.stop()
+        with tempfile.TemporaryDirectory() as folder:
+            pipe = os.path.join(folder, "settings.json")
+            os.mkfifo(pipe)
+            process = subprocess.Popen([PROGRAM, "--settings", pipe], stdout=subprocess.PIPE, text=True)
+            self.addCleanup(process.stdout.close)
+            self.addCleanup(process.wait)
+            self.addCleanup(process.kill)
+            # The pipe opens once the program reads its settings.
+            with open(pipe, "w", encoding="utf-8") as settings:
+                process.send_signal(signal.SIGHUP)
+                json.dump(host.settings, settings)
+            self.assertTrue(any("started" in line for line in process.stdout))
+
     def test_the_operators_rules_and_drains_bind(self):
         self.backend("i-1")
         self.backend("i-2", domain="d-b")
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -205,9 +205,19 @@
     return lambda: host.process.poll() is None and host.process.send_signal(signal.SIGCONT)
 
 
+def takes_reloads(process):
+    """Whether the program has got as far as its first lines; before, the kernel ends it at any signal."""
+    try:
+        with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
+            masks = [line.split()[1] for line in file if line.startswith(("SigIgn:", "SigCgt:"))]
+    except OSError:
+        return False
+    return any(int(mask, 16) & (1 << (signal.SIGHUP - 1)) for mask in masks)
+
+
 def reload_host(soak):
     host = soak.random.choice(soak.hosts)
-    if host.process.poll() is None:
+    if host.process.poll() is None and takes_reloads(host.process):
         host.process.send_signal(signal.SIGHUP)
 
 
