--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -178,9 +178,15 @@
 
 # Faults begin when called; what they return ends them.
 
-def kill_host(soak):
+def running_host(soak):
+    """Any host; nothing if that one does not run."""
     host = soak.random.choice(soak.hosts)
-    if host.process.poll() is not None:
+    return host if host.process.poll() is None else None
+
+
+def kill_host(soak):
+    host = running_host(soak)
+    if host is None:
         return None
     process = host.process
     process.send_signal(signal.SIGKILL)
@@ -188,8 +194,8 @@
 
 
 def stop_host(soak):
-    host = soak.random.choice(soak.hosts)
-    if host.process.poll() is not None:
+    host = running_host(soak)
+    if host is None:
         return None
     process = host.process
     process.send_signal(signal.SIGCONT)
@@ -198,8 +204,8 @@
 
 
 def freeze_host(soak):
-    host = soak.random.choice(soak.hosts)
-    if host.process.poll() is not None:
+    host = running_host(soak)
+    if host is None:
         return None
     host.process.send_signal(signal.SIGSTOP)
     return lambda: host.process.poll() is None and host.process.send_signal(signal.SIGCONT)
@@ -216,8 +222,8 @@
 
 
 def reload_host(soak):
-    host = soak.random.choice(soak.hosts)
-    if host.process.poll() is None and takes_reloads(host.process):
+    host = running_host(soak)
+    if host is not None and takes_reloads(host.process):
         host.process.send_signal(signal.SIGHUP)
 
 
