Give hosts of tests ports in turn over all processes

Ports were drawn at random and released before the host bound them, so that two tests, or two hosts of one, drew the same. Ruled out: connections of the kernel's own range (the ports lie below it).

--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -1,10 +1,10 @@
 """Starts entry hosts of heather-platform-entry over stand-ins on loopback."""
 
+import fcntl
 import http.client
 import json
 import os
 import queue
-import random
 import signal
 import socket
 import subprocess
@@ -21,21 +21,35 @@
 
 # Below the ports that the kernel gives to outgoing connections, which could take a host's port while it restarts.
 FIRST_PORT, LAST_PORT = 10000, 32000
+# Holds the port that was given last, for all tests of this machine.
+PORTS_FILE = os.path.join(tempfile.gettempdir(), "heather-test-ports")
 
 
 def free_ports(count):
-    sockets = []
-    while len(sockets) < count:
-        try:
-            sockets.append(socket.create_server(("127.0.0.1", random.randint(FIRST_PORT, LAST_PORT))))
-        except OSError:
-            continue  # In use.
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports that nobody uses. They are given in turn over all processes, so that tests that run side by side, and hosts that
+    have not bound theirs yet, get others."""
+    with open(PORTS_FILE, "a+", encoding="ascii") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        file.seek(0)
+        port = int(file.read() or FIRST_PORT)
+        ports = []
+        while len(ports) < count:
+            port = FIRST_PORT if port >= LAST_PORT else port + 1
+            if is_free(port):
+                ports.append(port)
+        file.truncate(0)
+        file.write(str(port))
     return ports
 
 
+def is_free(port):
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
+
+
 class Host:
     """One process. `await_log(text)` returns once a line holds the text."""
 
