Log and count the rate limits that backend servers state

A server in need states with each response how many requests a second it takes from all hosts together. Neither log nor metrics showed that a host had seen such a limit, so the hypotheses of the incident could not be told apart.

Adds ServerRateLimit (newest observation wins; ends with the first response without the field, or 10 s unconfirmed), a log line at each change, the gauge heather_limited_servers and the counter heather_limited_sends_total.

--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -76,6 +76,9 @@
   /// Number of forwarded requests that have no response yet.
   std::size_t active() const { return active_.size(); }
 
+  /// Number of backend servers whose rate limit is in force.
+  std::size_t limited_servers() const;
+
   const GatewayCounters& counters() const { return counters_; }
 
   /// Times from the arrival of a request to its delivered response, by rank.
--- a/src/include/heathergate/header_names.h
+++ b/src/include/heathergate/header_names.h
@@ -23,6 +23,8 @@
   /// Numbers of running and queued requests at a backend server, and of its
   /// slots.
   std::string server_load = "Heather-Server-Load";
+  /// Requests/s that a backend server accepts from all hosts together.
+  std::string server_limit = "Heather-Server-Limit";
 };
 
 }  // namespace heathergate
--- a/src/include/heathersteer/server_state.h
+++ b/src/include/heathersteer/server_state.h
@@ -5,6 +5,7 @@
 #include "heathersteer/backend_server.h"
 #include "heathersteer/server_health.h"
 #include "heathersteer/server_load.h"
+#include "heathersteer/server_rate_limit.h"
 #include "heathersteer/shared_rate_limiter.h"
 
 namespace heathersteer {
@@ -16,6 +17,7 @@
   ServerHealth health;
   /// Limits this host's requests to the server while it is cold.
   SharedRateLimiter cold_limiter;
+  ServerRateLimit rate_limit;
   /// Whether the server is still on the platform's list.
   bool listed = true;
 
--- a/src/include/heathersteer/server_table.h
+++ b/src/include/heathersteer/server_table.h
@@ -38,6 +38,10 @@
 
   std::shared_ptr<ServerState> Find(const std::string& id) const;
 
+  const std::map<std::string, std::shared_ptr<ServerState>>& by_id() const {
+    return by_id_;
+  }
+
   std::size_t size() const { return by_id_.size(); }
 
  private:
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -13,6 +13,7 @@
 #include "heathersteer/rejection.h"
 #include "heathersteer/steering_rules.h"
 #include "libheathergate/load_report.h"
+#include "libheathergate/rate_limit_field.h"
 #include "libheathergate/time_left.h"
 
 namespace heathergate {
@@ -150,6 +151,9 @@
   sent_at_ = EventLoop::Now();
   gateway_.placement_.Commit(*server_, service_, sent_at_);
   ++gateway_.counters_.sends;
+  if (server_->rate_limit.limit(sent_at_) > 0) {
+    ++gateway_.counters_.limited_sends;
+  }
   const heathersteer::BackendServer& target = server_->server;
   // A timer or the caller may end the request while the call is in flight, so
   // the call holds no strong reference to it.
@@ -242,6 +246,9 @@
   if (load) {
     server_->load.Report(load->running, load->waiting, now);
   }
+  if (outcome != AttemptOutcome::kBroken) {
+    ObserveRateLimit(result, now);
+  }
   if (outcome != AttemptOutcome::kNotExecuted) {
     health.RecordResponse(now - sent_at_, now);
     return;
@@ -254,6 +261,27 @@
   }
 }
 
+void ForwardedRequest::ObserveRateLimit(const CallResult& result, Instant now) {
+  // Another process may have taken over the address.
+  if (result.head.status == kStatusMisdirected) {
+    return;
+  }
+  const std::string& name = gateway_.options_.names.server_limit;
+  const std::string* text = result.head.Find(name);
+  const std::optional<double> limit =
+      text == nullptr ? 0 : ParseRateLimit(*text);
+  if (!limit) {
+    spdlog::warn(
+        "request id={} {}=\"{}\" of {} ignored: not a rate in decimals", id_,
+        name, *text, server_->server.id);
+    return;
+  }
+  if (server_->rate_limit.Observe(*limit, now)) {
+    spdlog::info("backend server {} states limit={} requests/s",
+                 server_->server.id, *limit);
+  }
+}
+
 void ForwardedRequest::Proceed(NextStep step, const CallResult& result) {
   switch (step) {
     case NextStep::kDeliver:
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -46,6 +46,7 @@
   std::string MakeHead(const std::string& server_id) const;
   void OnCallDone(const CallResult& result);
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
+  void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
   void UpdateServerHealth(const CallResult& result,
                           heathersteer::AttemptOutcome outcome);
   void Proceed(heathersteer::NextStep step, const CallResult& result);
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -156,6 +156,14 @@
   }
 }
 
+std::size_t Gateway::limited_servers() const {
+  const heatherlever::Instant now = EventLoop::Now();
+  return static_cast<std::size_t>(std::count_if(
+      servers_.by_id().begin(), servers_.by_id().end(), [&](const auto& entry) {
+        return entry.second->rate_limit.limit(now) > 0;
+      }));
+}
+
 heathersteer::OverloadThrottle& Gateway::Throttle(const std::string& route) {
   return throttles_[route];
 }
