Keep each host to an equal part of the limit that a server states

Cause: placement knows slots and load only.

Change: a token bucket a server, filled at limit / registered hosts. A server without a token is skipped, so its requests go to the next server of their key. The hosts begin with different parts of a token, so that they do not send together.

--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -90,6 +90,9 @@
     double utilization = 1;
   };
 
+  bool WithinRate(ServerState& state,
+                  const Service& service,
+                  heatherlever::Instant now) const;
   void UpdateBest(const Candidate& candidate,
                   std::size_t rank,
                   const Route& route,
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -151,7 +151,7 @@
   sent_at_ = EventLoop::Now();
   gateway_.placement_.Commit(*server_, service_, sent_at_);
   ++gateway_.counters_.sends;
-  if (server_->rate_limit.limit(sent_at_) > 0) {
+  if (server_->rate_limit.limit() > 0) {
     ++gateway_.counters_.limited_sends;
   }
   const heathersteer::BackendServer& target = server_->server;
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -157,11 +157,9 @@
 }
 
 std::size_t Gateway::limited_servers() const {
-  const heatherlever::Instant now = EventLoop::Now();
   return static_cast<std::size_t>(std::count_if(
-      servers_.by_id().begin(), servers_.by_id().end(), [&](const auto& entry) {
-        return entry.second->rate_limit.limit(now) > 0;
-      }));
+      servers_.by_id().begin(), servers_.by_id().end(),
+      [](const auto& entry) { return entry.second->rate_limit.limit() > 0; }));
 }
 
 heathersteer::OverloadThrottle& Gateway::Throttle(const std::string& route) {
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -131,9 +131,7 @@
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const Candidate& candidate = ranked[rank];
     ServerState& state = *candidate.server;
-    if (state.cold(now) &&
-        !state.cold_limiter.Ready(now, ColdInterval(*request.service),
-                                  UnitHash(options_.host, state.server.id))) {
+    if (!WithinRate(state, *request.service, now)) {
       continue;
     }
     const int max_choices =
@@ -148,6 +146,20 @@
   return choice;
 }
 
+// Whether this host's parts of the server's rates as a cold server and of the
+// limit that it states allow a request now.
+bool Placement::WithinRate(ServerState& state,
+                           const Service& service,
+                           Instant now) const {
+  const double phase = UnitHash(options_.host, state.server.id);
+  if (state.cold(now) &&
+      !state.cold_limiter.Ready(now, ColdInterval(service), phase)) {
+    return false;
+  }
+  return state.rate_limit.TimeToSend(now, options_.host_count, phase) ==
+         Duration(0);
+}
+
 // The first candidate with a free slot goes before any other; among full ones
 // the one with the least utilization below its limit is kept.
 void Placement::UpdateBest(const Candidate& candidate,
@@ -219,6 +231,7 @@
                        const Service& service,
                        Instant now) const {
   state.load.Sent();
+  state.rate_limit.Take();
   if (state.cold(now)) {
     state.cold_limiter.Take(now, ColdInterval(service));
   }
