Reject requests at once while all servers are at their rate limits

Seen: a request whose servers all had their limits used up waited an eighth of its target latency for a token that could not come in time, and was then rejected.

Change: Placement returns how long the limits hold; a request for which that is longer than it may queue is rejected at once, with Retry-After.

Tests: PlacementTest.TellsHowLongAllServersAreAtTheirLimits and rate_limit_test.test_request_is_rejected_at_once_while_all_servers_are_at_their_limits (before: reason "no room" after the wait).

--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -50,6 +50,9 @@
   /// Whether the request would be shifted by free capacity alone, without the
   /// shift limiter.
   bool would_shift = false;
+  /// Time until the first server may get a request if the rate limits of all
+  /// usable servers are used up; otherwise 0.
+  heatherlever::Duration limited_for{0};
   /// Whether too many servers of the local region are suspended, cold or
   /// evacuated.
   bool region_impaired = false;
@@ -95,9 +98,11 @@
 
   void CountDemand(const std::vector<Candidate>& ranked,
                    heatherlever::Instant now) const;
-  bool WithinRate(ServerState& state,
-                  const Service& service,
-                  heatherlever::Instant now) const;
+  bool ColdLimited(ServerState& state,
+                   const Service& service,
+                   heatherlever::Instant now) const;
+  heatherlever::Duration TimeToSend(ServerState& state,
+                                    heatherlever::Instant now) const;
   void UpdateBest(const Candidate& candidate,
                   std::size_t rank,
                   const Route& route,
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -89,17 +89,26 @@
   if (TryPlace() || ended_) {
     return;
   }
+  const Duration max_wait = heathersteer::MaxQueueTime(route_);
+  if (last_choice_.limited_for > max_wait) {
+    EndUnplaced("servers at their rate limits");
+    return;
+  }
   ticket_ = gateway_.Enqueue(this, service_.name, route_.rank);
-  queue_timer_.Start(heathersteer::MaxQueueTime(route_), [this] {
+  queue_timer_.Start(max_wait, [this] {
     LogNoCapacity();
-    if (policy_.WithoutRetry() == NextStep::kFail) {
-      Fail(kStatusBadGateway, "no room for a repeat");
-    } else {
-      Reject("no room");
-    }
+    EndUnplaced("no room");
   });
 }
 
+void ForwardedRequest::EndUnplaced(const char* reason) {
+  if (policy_.WithoutRetry() == NextStep::kFail) {
+    Fail(kStatusBadGateway, "no room for a repeat");
+  } else {
+    Reject(reason);
+  }
+}
+
 bool ForwardedRequest::TryPlace() {
   const Instant now = EventLoop::Now();
   heathersteer::SteeringRules* rules = gateway_.rules_.get();
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -42,6 +42,8 @@
 
  private:
   void Place();
+  // Ends the request, for which no server was found.
+  void EndUnplaced(const char* reason);
   void Send(std::shared_ptr<heathersteer::ServerState> server);
   std::string MakeHead(const std::string& server_id) const;
   void OnCallDone(const CallResult& result);
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -130,11 +130,15 @@
       may_shift ? options_.local_choices : options_.local_only_choices;
   BestServer local;
   BestServer remote;
+  Duration shortest_limit = Duration::max();
   std::map<std::string_view, int> considered_by_region;
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const Candidate& candidate = ranked[rank];
     ServerState& state = *candidate.server;
-    if (!WithinRate(state, *request.service, now)) {
+    const Duration limited_for = TimeToSend(state, now);
+    shortest_limit = std::min(shortest_limit, limited_for);
+    if (limited_for > Duration(0) ||
+        ColdLimited(state, *request.service, now)) {
       continue;
     }
     const int max_choices =
@@ -144,6 +148,9 @@
                  is_local(candidate) ? local : remote);
     }
   }
+  if (!ranked.empty()) {
+    choice.limited_for = shortest_limit;
+  }
   choice.server =
       ChooseRegion(request, local, remote, local_usable, now, choice).server;
   return choice;
@@ -164,18 +171,17 @@
   }
 }
 
-// Whether this host's parts of the server's rates as a cold server and of the
-// limit that it states allow a request now.
-bool Placement::WithinRate(ServerState& state,
-                           const Service& service,
-                           Instant now) const {
-  const double phase = UnitHash(options_.host, state.server.id);
-  if (state.cold(now) &&
-      !state.cold_limiter.Ready(now, ColdInterval(service), phase)) {
-    return false;
-  }
-  return state.rate_limit.TimeToSend(now, options_.host_count, phase) ==
-         Duration(0);
+bool Placement::ColdLimited(ServerState& state,
+                            const Service& service,
+                            Instant now) const {
+  return state.cold(now) &&
+         !state.cold_limiter.Ready(now, ColdInterval(service),
+                                   UnitHash(options_.host, state.server.id));
+}
+
+Duration Placement::TimeToSend(ServerState& state, Instant now) const {
+  return state.rate_limit.TimeToSend(now, options_.host_count,
+                                     UnitHash(options_.host, state.server.id));
 }
 
 // The first candidate with a free slot goes before any other; among full ones
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -233,5 +233,21 @@
   EXPECT_EQ(Choose(placement, "7", kNow + seconds(10)), first);
 }
 
+// Requests waited for a token that could not come in time.
+TEST_F(PlacementTest, TellsHowLongAllServersAreAtTheirLimits) {
+  const Placement placement(Options("north"));
+  for (const auto& server : table_.OfService("proofs")) {
+    server->rate_limit.Observe(0.5, kNow);
+  }
+  const auto limited = placement.Choose(table_, Request("key"), kNow);
+  EXPECT_EQ(limited.server, nullptr);
+  EXPECT_GT(limited.limited_for, milliseconds(0));
+  EXPECT_LE(limited.limited_for, seconds(2));
+  table_.Find("north3")->rate_limit.Observe(0, kNow + milliseconds(1));
+  const auto free = placement.Choose(table_, Request("key"), kNow);
+  EXPECT_EQ(free.server->server.id, "north3");
+  EXPECT_EQ(free.limited_for, milliseconds(0));
+}
+
 }  // namespace
 }  // namespace heathersteer
--- a/testsuite/gateway/rate_limit_test.py
+++ b/testsuite/gateway/rate_limit_test.py
@@ -36,6 +36,63 @@
         busiest = max(sum(first <= at < first + WINDOW_S for at in bound) for first in bound)
         self.assertLessEqual(busiest, ALLOWED)
 
+    def test_request_is_rejected_at_once_while_all_servers_are_at_their_limits(self):
+        def state_limit(request, connection):
+            return make_response(request, b"limited", extra="Server-Limit: 0.01\r\n")
+
+        self.backend("i-1", state_limit)
+        host = self.started_host()
+        host.await_log("backend server i-1 ")
+        self.assertEqual(200, host.request()[0])
+        status, headers, _ = host.request(request_id="id-2")
+        self.assertEqual(503, status)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        line = host.await_log("request id=id-2 ")
+        self.assertIn('reason="servers at their rate limits"', line)
+        self.assertIn("sends=0 servers= ", line)
+
+    def test_hosts_that_never_sent_to_a_server_know_its_limit_and_the_end_of_it(self):
+        extra = ["Server-Limit: 10\r\n"]
+
+        def state_limit(request, connection):
+            return make_response(request, b"limited", extra=extra[0])
+
+        self.backend("i-1", state_limit)
+        relay = self.started_host("h1")
+        hosts = [relay, self.started_host("h2"), self.started_host("h3", domain="d-b")]
+        for host in hosts:
+            host.await_log("backend server i-1 ")
+            host.await_log("3 hosts are registered")
+        self.assertEqual(200, relay.request(request_id="first")[0])
+        for host in hosts[1:]:
+            host.await_log("backend server i-1 limit=10 requests/s, reported by a host")
+        extra[0] = ""
+        self.send_until(hosts[1], 200)
+        for host in (relay, hosts[2]):
+            host.await_log("backend server i-1 limit=0 requests/s, reported by a host")
+
+    def test_limits_are_shared_after_the_relay_was_killed(self):
+        def state_limit(request, connection):
+            return make_response(request, b"limited", extra="Server-Limit: 10\r\n")
+
+        self.backend("i-1", state_limit)
+        hosts = [self.started_host("h1"), self.started_host("h2"), self.started_host("h3", domain="d-b")]
+        for host in hosts:
+            host.await_log("backend server i-1 ")
+            host.await_log("3 hosts are registered")
+        hosts[0].process.kill()
+        hosts[1].await_log("news come from the store")
+        self.assertEqual(200, hosts[1].request(request_id="first")[0])
+        hosts[2].await_log("backend server i-1 limit=10 requests/s, reported by a host")
+
+    def send_until(self, host, expected):
+        """Sends requests until one gets the expected status, as a host may have to wait for its part of a limit."""
+        for number in range(1000):
+            if host.request(request_id=f"until-{number}")[0] == expected:
+                return
+            time.sleep(0.01)
+        self.fail(f"{host.name} never responded with {expected}")
+
     def load(self, hosts, end):
         """Sends requests for many objects until `end` from some clients a host; returns the statuses."""
         statuses = []
