Read the registrations when a host takes over as the relay

Seen: a host that had followed another one for 14 s and then became the relay of its domain never read the registrations again. Hosts that had registered since were missing from its count, so its domain divided limits, the rates of cold servers and retry budgets by too few hosts.

Cause: the timer of the reads ran out while the host followed, and was not set again.

Change: such a read is due at the take-over.

Test: rate_limit_test.test_new_relay_divides_limits_by_the_hosts_that_are_registered_by_then (failed before: h2 never wrote '3 hosts are registered' within 30 s).

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -164,6 +164,9 @@
   // Whether a registration has failed since the start.
   bool start_failed_ = false;
   bool hosts_known_ = false;
+  // Whether a read of the registrations was left out while this host followed
+  // another one.
+  bool hosts_read_due_ = false;
   bool ready_ = false;
   bool leaving_ = false;
 };
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -251,6 +251,8 @@
                            [this, first] {
                              if (first || followed_host_.empty()) {
                                ReadHosts();
+                             } else {
+                               hosts_read_due_ = true;
                              }
                            });
       });
@@ -276,6 +278,9 @@
     return;
   }
   reader_->EnsureReading();
+  if (std::exchange(hosts_read_due_, false)) {
+    ReadHosts();
+  }
   // A host that registered earlier may have recovered.
   follow_timer_.Start(timing_.long_poll_timeout, [this] { Follow(); });
 }
--- a/testsuite/gateway/rate_limit_test.py
+++ b/testsuite/gateway/rate_limit_test.py
@@ -12,9 +12,15 @@
 ALLOWED = 1.5 * WINDOW_S * LIMIT_PER_S + 5
 DURATION_S = 9
 CLIENTS = 4
+# Longer than the first interval between reads of the registrations.
+HOSTS_READ_S = 15
 
 
 class RateLimitTest(GatewayTestCase):
+    def setUp(self):
+        super().setUp()
+        self.hosts = {}
+
     def test_server_gets_no_more_than_its_stated_limit_from_all_hosts(self):
         arrivals = []
 
@@ -41,7 +47,7 @@
             return make_response(request, b"limited", extra="Server-Limit: 0.01\r\n")
 
         self.backend("i-1", state_limit)
-        host = self.started_host()
+        host = self.started_host("h1")
         host.await_log("backend server i-1 ")
         self.assertEqual(200, host.request()[0])
         status, headers, _ = host.request(request_id="id-2")
@@ -85,6 +91,24 @@
         self.assertEqual(200, hosts[1].request(request_id="first")[0])
         hosts[2].await_log("backend server i-1 limit=10 requests/s, reported by a host")
 
+    def test_new_relay_divides_limits_by_the_hosts_that_are_registered_by_then(self):
+        self.started_host("h1")
+        second = self.started_host("h2")
+        second.await_log("2 hosts are registered")
+        # The host that follows no longer reads the registrations after this time.
+        time.sleep(HOSTS_READ_S)
+        third = self.started_host("h3", domain="d-b")
+        third.await_log("3 hosts are registered")
+        second.history.clear()
+        self.hosts["h1"].process.kill()
+        second.await_log("news come from the store")
+        second.await_log("3 hosts are registered")
+
+    def started_host(self, name, **options):
+        host = super().started_host(name, **options)
+        self.hosts[name] = host
+        return host
+
     def send_until(self, host, expected):
         """Sends requests until one gets the expected status, as a host may have to wait for its part of a limit."""
         for number in range(1000):
