Tell a host that starts in an outage of the store how many hosts there are

Seen: a host that started while the store was down counted itself as the only host until it could register. It took a whole limit, the whole rate of a cold server and the whole retry budget for itself.

Cause: it gets its state by queries to other hosts, and their responses left the number of hosts out.

Change: responses to queries carry it; the host adds itself.

Test: rate_limit_test.test_host_that_starts_in_an_outage_of_the_store_takes_no_whole_limit (failed before: the host never took the number over).

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -106,6 +106,7 @@
   std::string MakeQuery() const;
   void OnQuery(const std::shared_ptr<HttpExchange>& exchange);
   void OnPeerResponse(const RelayResponse& response);
+  void SetHostCount(int host_count);
   void SetPeers(const std::vector<heathersteer::HostRegistration>& hosts);
   bool HasUpdate(const RelayRequest& request) const;
   void RespondWithUpdates();
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -167,6 +167,7 @@
   RelayResponse response;
   response.incarnation = incarnation_;
   response.age = now - servers_.known_at();
+  response.host_count = host_count_;
   if (response.age + kMinAgeGain < query->list_age) {
     response.same_list = query->list_digest == changes_.digest();
     if (!response.same_list) {
@@ -180,6 +181,12 @@
 }
 
 void FleetAgent::OnPeerResponse(const RelayResponse& response) {
+  if (!hosts_known_ && response.host_count > host_count_) {
+    // This host may not be registered yet.
+    SetHostCount(response.host_count + (registered_ ? 0 : 1));
+    spdlog::info("{} hosts are registered, by another host",
+                 response.host_count);
+  }
   if (response.operator_state) {
     OnOperatorState(*response.operator_state);
   }
@@ -192,6 +199,11 @@
   }
 }
 
+void FleetAgent::SetHostCount(int host_count) {
+  host_count_ = host_count;
+  listener_.on_host_count(host_count_);
+}
+
 void FleetAgent::SetSeeds(std::vector<HttpPeer> seeds) {
   seeds_ = std::move(seeds);
   SetPeers({});
@@ -240,9 +252,8 @@
         relay_order_.SetHosts(*hosts);
         SetPeers(*hosts);
         limit_exchange_->SetHosts(relay_order_.self(), *hosts);
-        host_count_ = std::max(1, static_cast<int>(hosts->size()));
+        SetHostCount(std::max(1, static_cast<int>(hosts->size())));
         spdlog::info("{} hosts are registered", host_count_);
-        listener_.on_host_count(host_count_);
         if (first) {
           Follow();
         }
@@ -369,8 +380,7 @@
     followed_endpoints_ = *response.caller_endpoints;
   }
   if (response.host_count != host_count_) {
-    host_count_ = response.host_count;
-    listener_.on_host_count(host_count_);
+    SetHostCount(response.host_count);
   }
   if (response.limits) {
     ApplyLimits(*response.limits);
--- a/testsuite/gateway/rate_limit_test.py
+++ b/testsuite/gateway/rate_limit_test.py
@@ -104,6 +104,16 @@
         second.await_log("news come from the store")
         second.await_log("3 hosts are registered")
 
+    def test_host_that_starts_in_an_outage_of_the_store_takes_no_whole_limit(self):
+        self.backend("i-1")
+        first = self.started_host("h1")
+        self.started_host("h2")
+        first.await_log("backend server i-1 ")
+        first.await_log("2 hosts are registered")
+        self.store.down = True
+        third = self.started_host("h3", address="127.0.0.2", domain="e-a", seeds=[first])
+        third.await_log("2 hosts are registered, by another host")
+
     def started_host(self, name, **options):
         host = super().started_host(name, **options)
         self.hosts[name] = host
