--- a/src/heatherctl/request_trace.cc
+++ b/src/heatherctl/request_trace.cc
@@ -27,6 +27,9 @@
     ReasonMeaning{"servers run out of time",
                   "most requests of the route ended at their deadline lately, "
                   "so a part is rejected before it is sent; it has not run"},
+    ReasonMeaning{"servers at their rate limits",
+                  "every usable server states a rate limit and this host's "
+                  "part of each is used up; it has not run"},
     ReasonMeaning{"outcome unknown",
                   "the exchange with the last server broke after the request "
                   "was sent: it may have run"},
--- a/testsuite/soak/actors.py
+++ b/testsuite/soak/actors.py
@@ -1,17 +1,21 @@
 """The store, backend servers and callers of a soak. Backend servers and callers record what they have seen."""
 
+import bisect
 import http.client
 import random
 import threading
 import time
 
 from gateway_harness import Host
-from standins import DEADLINE, REQUEST_ID, SEAL, Backend, Store, make_response
+from standins import DEADLINE, NOT_EXECUTED, REQUEST_ID, SEAL, Backend, Store, make_response
 
 # Statuses by which a host states that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 CALLER_TIMEOUT_S = 4
 DEADLINE_MS = 3000
+# A stated limit binds from this time on, in any window of this length.
+LIMIT_NOTICE_S = 3
+LIMIT_WINDOW_S = 4
 
 
 class SoakStore(Store):
@@ -53,14 +57,22 @@
 
 
 class SoakBackend(Backend):
-    """Runs each request that it reads, except those that it sheds, and records the body of the response."""
+    """Runs each request that it reads, except those that it sheds, and records the body of the response. With
+    `limit_per_s` it states that limit with each response, and `arrivals` holds the times of the requests."""
 
-    def __init__(self, name, seed):
+    def __init__(self, name, seed, limit_per_s=0):
         self.random = random.Random(seed)
         self.mode = "ok"
         self.bodies = {}
+        self.limit_per_s = limit_per_s
+        self.limit_field = f"Server-Limit: {limit_per_s}\r\n" if limit_per_s else ""
+        self.arrivals = []
         super().__init__(name)
 
+    def shed(self, request, connection):
+        head = f"HTTP/1.1 503 Service Unavailable\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n{self.limit_field}\r\n"
+        return head.encode()
+
     def behave_ok(self, request, connection):
         return self.run_and_respond(request)
 
@@ -71,7 +83,7 @@
         body += b"." * self.random.randrange(4000)
         with self.condition:
             self.bodies[request_id] = body
-        return make_response(request, body, extra="Heatherlever-Server-Load: 1,0,3\r\n")
+        return make_response(request, body, extra="Heatherlever-Server-Load: 1,0,3\r\n" + self.limit_field)
 
     def behave_slow(self, request, connection):
         time.sleep(0.4)
@@ -102,6 +114,8 @@
         super().serve(connection)
 
     def behave_now(self, request, connection):
+        with self.condition:
+            self.arrivals.append(time.monotonic())
         if self.mode == "shed":
             return self.shed(request, connection)
         return getattr(self, "behave_" + self.mode)(request, connection)
@@ -161,6 +175,22 @@
         connection.close()
 
 
+def find_exceeded_limits(backends):
+    """Returns a line for each backend server that got more requests in a window than the limit that it states allows."""
+    violations = []
+    for backend in backends:
+        with backend.condition:
+            arrivals = sorted(backend.arrivals)
+        if not backend.limit_per_s or not arrivals:
+            continue
+        bound = [at for at in arrivals if at >= arrivals[0] + LIMIT_NOTICE_S]
+        allowed = 1.5 * LIMIT_WINDOW_S * backend.limit_per_s + 5
+        busiest = max((bisect.bisect_left(bound, first + LIMIT_WINDOW_S) - n for n, first in enumerate(bound)), default=0)
+        if busiest > allowed:
+            violations.append(f"{backend.name} got {busiest} requests in {LIMIT_WINDOW_S} s, {allowed:.0f} allowed")
+    return violations
+
+
 def find_violations(attempts, backends, check_ids):
     """Returns a line for each violated invariant in what callers and backend servers have seen. `check_ids` are the ids of
     requests that the soak's own checks have sent."""
--- a/testsuite/soak/invariants_test.py
+++ b/testsuite/soak/invariants_test.py
@@ -3,7 +3,7 @@
 import threading
 import unittest
 
-from actors import find_violations
+from actors import find_exceeded_limits, find_violations
 from standins import REQUEST_ID, SEAL
 
 
@@ -47,6 +47,14 @@
         self.assertEqual(1, len(self.findings([attempt("a", 502)], changed)))
         self.assertEqual(1, len(self.findings([], FakeBackend(["z"]))))
 
+    def test_exceeded_limit_is_found(self):
+        backend = FakeBackend()
+        backend.name, backend.limit_per_s = "i-0", 2
+        backend.arrivals = [0.0] + [5 + n / 10 for n in range(17)]
+        self.assertEqual([], find_exceeded_limits([backend]))
+        backend.arrivals.append(8.9)
+        self.assertEqual(1, len(find_exceeded_limits([backend])))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -9,12 +9,14 @@
 import tempfile
 import time
 
-from actors import Callers, SoakBackend, SoakStore, find_violations, send
+from actors import Callers, SoakBackend, SoakStore, find_exceeded_limits, find_violations, send
 from gateway_harness import Host, config, route
 from links import LinkSet
 
 DOMAINS = ("d-a", "d-a", "d-b", "e-a")
 BACKENDS = 4
+# Number of backend servers that state a limit in a run with limits.
+LIMITED_BACKENDS = 2
 # Time for hosts to serve again once every fault is over; far more than they need, as it only ends a run that hangs.
 RECOVERY_S = 40
 # Time within which a host must end after a stop signal: the grace in its settings plus scheduling delays.
@@ -33,14 +35,15 @@
 class Soak:
     """One run. After it `findings` holds a line for each violated invariant."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, limit_per_s=0):
         self.seed = seed
         self.random = random.Random(seed)
         self.links = LinkSet()
         self.store = SoakStore()
         self.version = 1
         self.store.put("op", "config", soak_config(1))
-        self.backends = [SoakBackend(f"i-{n}", f"{seed}-{n}") for n in range(BACKENDS)]
+        self.backends = [SoakBackend(f"i-{n}", f"{seed}-{n}", limit_per_s if n < LIMITED_BACKENDS else 0)
+                         for n in range(BACKENDS)]
         self.backend_links = [self.links.link(backend.port) for backend in self.backends]
         for n in range(BACKENDS):
             self.register(n)
@@ -64,6 +67,7 @@
             self.inject_faults(seconds)
         finally:
             callers.stop()
+        self.findings += find_exceeded_limits(self.backends)
         self.findings += self.check_recovery()
         self.findings += self.check_drain()
         self.findings += find_violations(callers.attempts, self.backends, self.check_ids)
@@ -320,9 +324,9 @@
 }
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, limit_per_s):
     """Runs one seed and prints the result; returns whether every invariant held."""
-    soak = Soak(seed)
+    soak = Soak(seed, limit_per_s)
     try:
         soak.run(seconds)
         verdict = "kept" if not soak.findings else "BROKEN"
@@ -343,9 +347,10 @@
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds, one after the other")
     parser.add_argument("--seconds", type=float, default=10, help="how long faults are injected in each run")
+    parser.add_argument("--limit", type=float, default=0, help="requests/s that two backend servers accept; 0: no limit")
     arguments = parser.parse_args()
     broken = [seed for seed in range(arguments.first, arguments.first + arguments.seeds)
-              if not run_seed(seed, arguments.seconds)]
+              if not run_seed(seed, arguments.seconds, arguments.limit)]
     print(f"{arguments.seeds - len(broken)} passed, {len(broken)} failed")
     sys.exit(1 if broken else 0)
 
--- a/testsuite/soak/soak_test.py
+++ b/testsuite/soak/soak_test.py
@@ -8,10 +8,10 @@
 
 
 class SoakTest(unittest.TestCase):
-    def run_seed(self, seed):
-        soak = Soak(seed)
+    def run_seed(self, seed, seconds=SECONDS, limit_per_s=0):
+        soak = Soak(seed, limit_per_s)
         try:
-            soak.run(SECONDS)
+            soak.run(seconds)
             self.assertEqual([], soak.findings, f"logs: {soak.logs() if soak.findings else 'not kept'}")
         finally:
             soak.close()
@@ -32,6 +32,10 @@
     def test_seed_238(self):
         self.run_seed(238)
 
+    # Two servers state a limit while hosts are killed, frozen and cut off.
+    def test_limits_are_kept_in_seed_1(self):
+        self.run_seed(1, seconds=12, limit_per_s=8)
+
 
 if __name__ == "__main__":
     unittest.main()
