Assume a large fleet until the number of hosts is known

Cause: 22 hosts of a domain that had lost power started at 21.0 s, knew the servers at once and the number of hosts 2 s later. Until then each counted itself as the only host and took the whole rate of each cold server, as it would a whole limit and a whole retry budget.

Change: until the number is known, 1,000 hosts are assumed. SharedRateLimiter starts with its phase whatever the clock shows, and a shorter interval applies at once, so a cold server does not wait for the assumed fleet afterwards.

Tests: rate_limit_test.test_host_that_does_not_know_the_number_of_hosts_leaves_cold_servers_alone (17 requests in 2 s where one is assumed, at most 1 now), SharedRateLimiterTest.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -160,7 +160,8 @@
   // Empty while this host reads the store for its domain.
   std::string followed_host_;
   heatherlever::Instant started_at_{0};
-  int host_count_ = 1;
+  // 0 until it is known.
+  int host_count_ = 0;
   bool registered_ = false;
   // Whether a registration has failed since the start.
   bool start_failed_ = false;
--- a/src/include/heathersteer/shared_rate_limiter.h
+++ b/src/include/heathersteer/shared_rate_limiter.h
@@ -22,6 +22,7 @@
 
  private:
   heatherlever::Instant next_event_{0};
+  bool started_ = false;
 };
 
 }  // namespace heathersteer
--- a/testsuite/gateway/rate_limit_test.py
+++ b/testsuite/gateway/rate_limit_test.py
@@ -114,6 +114,28 @@
         third = self.started_host("h3", address="127.0.0.2", domain="e-a", seeds=[first])
         third.await_log("2 hosts are registered, by another host")
 
+    def test_host_that_does_not_know_the_number_of_hosts_leaves_cold_servers_alone(self):
+        cold = self.backend("i-1", slots=100)
+        self.store.put("servers", "i-1", {**cold.row(slots=100), "coldRemaining": "60000ms"})
+        self.backend("i-2", slots=100)
+        respond_to_get = self.store.on_get
+
+        def refuse_registrations(handler):
+            if "table=heather-hosts" in handler.path:
+                self.store.respond(handler, 503, {})
+            else:
+                respond_to_get(handler)
+
+        self.store.on_get = refuse_registrations
+        host = self.started_host("h1")
+        host.await_log("backend server i-2 ")
+        host.await_log("registrations not read")
+        # Alone, a host sends 10 requests/s to a cold server.
+        for number in range(100):
+            self.assertEqual(200, host.request(request_id=f"id-{number}", key=str(number))[0])
+            time.sleep(0.02)
+        self.assertLessEqual(len(cold.runs), 1)
+
     def started_host(self, name, **options):
         host = super().started_host(name, **options)
         self.hosts[name] = host
