--- a/src/include/heathersteer/limit_pool.h
+++ b/src/include/heathersteer/limit_pool.h
@@ -18,9 +18,6 @@
               LimitSummary summary,
               heatherlever::Instant now);
 
-  /// Removes a source, so that its hosts no longer count.
-  void Remove(const std::string& source) { sources_.erase(source); }
-
   /// Demand is added up; of several observations the newest counts, of several
   /// incarnations of a server the newest.
   LimitSummary Sum(heatherlever::Instant now);
