--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -40,7 +40,7 @@
   std::function<void(const heathersteer::OperatorState&)> on_operator_state;
   std::function<void(const std::vector<heathersteer::BackendServer>&)>
       on_servers;
-  /// Number of registered entry hosts.
+  /// Number of registered entry hosts; an assumed number until it is known.
   std::function<void(int)> on_host_count;
   /// Returns this host's observations of rate limits and its demand.
   std::function<heathersteer::LimitSummary()> report_limits;
@@ -112,7 +112,7 @@
   void RespondWithUpdates();
   void RespondToAllPending();
   void SendResponse(PendingRequest& pending);
-  heathersteer::LimitSummary DomainLimits();
+  heathersteer::LimitSummary CollectDomainLimits();
   void OnDomainLimits(const std::shared_ptr<HttpExchange>& exchange);
   void ApplyLimits(heathersteer::LimitSummary limits);
   void ExchangeLimits();
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -313,7 +313,7 @@
       .servers_sequence = same ? followed_servers_sequence_ : 0,
       .operator_sequence = same ? followed_operator_sequence_ : 0,
       .live_sequence = same ? followed_live_sequence_ : 0,
-      .limits = DomainLimits()};
+      .limits = CollectDomainLimits()};
   const std::string body = EncodeRequest(request, EventLoop::Now());
   response_timer_.Start(timing_.long_poll_timeout + kResponseSlack,
                         [this, host] {
@@ -550,7 +550,7 @@
       HttpResponse::Of(kStatusOk, EncodeResponse(response, now)));
 }
 
-heathersteer::LimitSummary FleetAgent::DomainLimits() {
+heathersteer::LimitSummary FleetAgent::CollectDomainLimits() {
   const Instant now = EventLoop::Now();
   host_limits_.Record(relay_order_.self().name, listener_.report_limits(), now);
   return host_limits_.Sum(now);
@@ -584,7 +584,7 @@
   }
   limits_exchanged_at_ = now;
   const std::string& domain = relay_order_.self().domain;
-  const heathersteer::LimitSummary own = DomainLimits();
+  const heathersteer::LimitSummary own = CollectDomainLimits();
   domain_limits_.Record(domain, own, now);
   ApplyLimits(domain_limits_.Sum(now));
   if (!all_limits_.reports.empty()) {
