--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -40,7 +40,7 @@
   std::function<void(const heathersteer::OperatorState&)> on_operator_state;
   std::function<void(const std::vector<heathersteer::BackendServer>&)>
       on_servers;
-  /// Number of registered entry hosts; an assumed number until it is known.
+  /// Number of registered entry hosts.
   std::function<void(int)> on_host_count;
   /// Returns this host's observations of rate limits and its demand.
   std::function<heathersteer::LimitSummary()> report_limits;
@@ -160,8 +160,7 @@
   // Empty while this host reads the store for its domain.
   std::string followed_host_;
   heatherlever::Instant started_at_{0};
-  // 0 until it is known.
-  int host_count_ = 0;
+  int host_count_ = 1;
   bool registered_ = false;
   // Whether a registration has failed since the start.
   bool start_failed_ = false;
--- a/src/include/heathersteer/shared_rate_limiter.h
+++ b/src/include/heathersteer/shared_rate_limiter.h
@@ -22,7 +22,6 @@
 
  private:
   heatherlever::Instant next_event_{0};
-  bool started_ = false;
 };
 
 }  // namespace heathersteer
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -45,10 +45,6 @@
 // Age from which on limits are not passed on.
 constexpr Duration kMaxLimitsAge = std::chrono::seconds(1);
 
-// Number of hosts that is assumed until it is known: the largest fleet. A host
-// that has just started must not take a rate that all hosts share for itself.
-constexpr int kAssumedHostCount = 1000;
-
 constexpr const char* kRelayPath = "/relay";
 // A peer gets the list of servers only if its own list is older by more than
 // this.
@@ -112,7 +108,6 @@
 
 void FleetAgent::Start() {
   started_at_ = EventLoop::Now();
-  listener_.on_host_count(kAssumedHostCount);
   // Callers may already be waiting: registering and choosing a host to follow
   // take several round trips, the first reads take one.
   reader_->EnsureReading();
@@ -384,7 +379,7 @@
   if (response.caller_endpoints) {
     followed_endpoints_ = *response.caller_endpoints;
   }
-  if (response.host_count > 0 && response.host_count != host_count_) {
+  if (response.host_count != host_count_) {
     SetHostCount(response.host_count);
   }
   if (response.limits) {
--- a/src/libheathersteer/shared_rate_limiter.cc
+++ b/src/libheathersteer/shared_rate_limiter.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <utility>
 
 namespace heathersteer {
 namespace {
@@ -16,10 +15,7 @@
 }  // namespace
 
 bool SharedRateLimiter::Ready(Instant now, Duration interval, double phase) {
-  // The wait of an interval that was longer before no longer applies.
-  const bool shortened = next_event_ > now + interval;
-  if (!std::exchange(started_, true) || shortened ||
-      now > next_event_ + interval * kIdleIntervals) {
+  if (now > next_event_ + interval * kIdleIntervals) {
     const auto wait = static_cast<double>(interval.count()) * phase;
     next_event_ = now + Duration(static_cast<std::int64_t>(wait));
   }
