--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -431,6 +431,11 @@
 
 void FleetAgent::OnOperatorState(const OperatorState& state) {
   if (state.version <= operator_state_.version) {
+    if (state.version < operator_state_.version) {
+      spdlog::info(
+          "operator's state at version {} ignored, version {} is known",
+          state.version, operator_state_.version);
+    }
     return;
   }
   const bool changed = state.document != operator_state_.document ||
