--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -18,7 +18,8 @@
 class Store:
     """The store's rows, served over HTTP as PROTOCOL.md says. `down` makes it
     respond with 503; `reads` counts reads by table. `open_port()` opens a further port
-    to the same rows, at which requests can be refused separately."""
+    to the same rows, at which requests can be refused separately. `copy()` returns a
+    copy of the rows for `restore()`, which begins a new timeline."""
 
     def __init__(self):
         self.condition = threading.Condition()
@@ -26,6 +27,7 @@
         self.removed = {}
         self.version = 0
         self.down = False
+        self.timeline = 1
         self.reads = {}
         store = self
 
@@ -70,6 +72,17 @@
             server.shutdown()
             server.server_close()
 
+    def copy(self):
+        with self.condition:
+            return dict(self.rows), dict(self.removed), self.version
+
+    def restore(self, copy):
+        """Returns to a copy; all that was written since is lost, and its versions are given out again."""
+        with self.condition:
+            self.rows, self.removed, self.version = dict(copy[0]), dict(copy[1]), copy[2]
+            self.timeline += 1
+            self.condition.notify_all()
+
     def put(self, table, key, value):
         with self.condition:
             self.version += 1
@@ -90,6 +103,7 @@
         handler.send_response(status)
         handler.send_header("Content-Type", "application/json")
         handler.send_header("Content-Length", str(len(text)))
+        handler.send_header("Store-Era", str(self.timeline))
         handler.end_headers()
         try:
             handler.wfile.write(text)
@@ -111,10 +125,14 @@
                 rows = self.changed_rows(query["table"], 0)
             else:
                 port = handler.server.server_address[1]
-                self.await_change(query["table"], int(query["after"]), int(query["waitMs"]) / 1000, port)
+                after = int(query["after"])
+                timeline = self.timeline
+                self.await_change(query["table"], after, int(query["waitMs"]) / 1000, port)
                 if self.reject_refused(handler):
                     return
-                after = int(query["after"])
+                if after > self.version or timeline != self.timeline:
+                    self.respond(handler, 410, {})
+                    return
                 rows = self.changed_rows(query["table"], after) + self.removed_rows(query["table"], after)
             body = {"rows": rows, "hasMore": False, "objectVersion": self.version, "now": "1ms"}
         self.respond(handler, 200, body)
@@ -135,7 +153,9 @@
 
     def await_change(self, table, after, wait_s, port):
         end = time.monotonic() + wait_s
-        while port not in self.refused_ports and not self.changed_rows(table, after) and not self.removed_rows(table, after):
+        timeline = self.timeline
+        while (port not in self.refused_ports and timeline == self.timeline and after <= self.version
+               and not self.changed_rows(table, after) and not self.removed_rows(table, after)):
             left = end - time.monotonic()
             if left <= 0:
                 return
@@ -219,10 +239,10 @@
             if not self.condition.wait_for(predicate, timeout_s):
                 raise AssertionError(f"{self.name}: the awaited state was not reached within {timeout_s} s")
 
-    def row(self, domain="d-a", state="ready", slots=3):
+    def row(self, domain="d-a", state="ready", slots=3, sequence=1):
         return {
             "service": "s", "address": f"127.0.0.1:{self.port}", "zone": domain, "version": "v1",
-            "slots": slots, "state": state, "coldRemaining": "0ms", "sequence": 1, "born": 1,
+            "slots": slots, "state": state, "coldRemaining": "0ms", "sequence": sequence, "born": 1,
         }
 
 
