Tell a store that was restored from a copy from the one before

Callers' requests on changed routes were handled by the configuration before, for as long as the restored store took to give out more versions than it had lost; then hosts sent requests to servers that had left.

Cause: versions of the store, reports of servers and registrations were compared as if the store never loses what it has acknowledged. A restore gives out numbers again, so a new state counted as an older one, a watch could wait past a change, and rows of the older copy counted as news.

Change: a version is a timeline and a number. A watch whose response is of another timeline reads everything again, and responses of an earlier timeline are refused. A server's report is ordered by incarnation and sequence across timelines, so an older copy neither brings back a server that left nor ends a drain. Missing servers and hosts stay until they had time to register again, and a relay tells the hosts that follow it which registrations are lost: none reads for it.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -14,9 +14,11 @@
 #include "heathergate/http_client.h"
 #include "heathergate/http_server.h"
 #include "heathergate/timer.h"
+#include "heathersteer/host_table.h"
 #include "heathersteer/limit_pool.h"
 #include "heathersteer/limit_summary.h"
 #include "heathersteer/live_hosts.h"
+#include "heathersteer/operator_state_merge.h"
 #include "heathersteer/propagation_timing.h"
 #include "heathersteer/relay_order.h"
 #include "heathersteer/server_change_log.h"
@@ -88,6 +90,9 @@
 
   void Register();
   void ReadHosts();
+  void OnHostsRead(
+      const heathersteer::Listing<heathersteer::HostRegistration>& hosts);
+  void OnTimeline(std::uint64_t timeline);
   void Follow();
   void SendRelayRequest(const heathersteer::HostRegistration& host);
   void OnRelayResponse(const heathersteer::HostRegistration& host,
@@ -101,6 +106,7 @@
   StoreReaderCallbacks MakeReaderCallbacks();
   void OnServersChanged();
   void OnOperatorState(const heathersteer::OperatorState& state);
+  void NotifyOperatorState();
   void CancelRelayRequest();
   bool IsStale() const;
   std::string MakeQuery() const;
@@ -125,7 +131,8 @@
   heathersteer::RelayOrder relay_order_;
   heathersteer::LiveHosts live_hosts_;
   heathersteer::ServerList servers_;
-  heathersteer::OperatorState operator_state_;
+  heathersteer::OperatorStateMerge operator_state_;
+  heathersteer::HostTable hosts_;
   HttpClient client_;
   std::unique_ptr<PeerQuery> peer_query_;
   std::unique_ptr<LimitExchange> limit_exchange_;
@@ -161,7 +168,10 @@
   std::string followed_host_;
   heatherlever::Instant started_at_{0};
   int host_count_ = 1;
+  // Newest timeline of the store that this host knows of.
+  std::uint64_t timeline_ = 0;
   bool registered_ = false;
+  bool registering_ = false;
   // Whether a registration has failed since the start.
   bool start_failed_ = false;
   bool hosts_known_ = false;
--- a/src/include/heathergate/fleet_source.h
+++ b/src/include/heathergate/fleet_source.h
@@ -3,13 +3,13 @@
 
 #include <absl/status/statusor.h>
 
-#include <cstdint>
 #include <functional>
-#include <vector>
 
 #include "heathersteer/backend_server.h"
 #include "heathersteer/host_registration.h"
+#include "heathersteer/listing.h"
 #include "heathersteer/operator_state.h"
+#include "heathersteer/store_version.h"
 
 namespace heathergate {
 
@@ -31,14 +31,14 @@
   virtual void RestartWatch() = 0;
 
   virtual void ReadServers(
-      Done<std::vector<heathersteer::BackendServer>> done) = 0;
+      Done<heathersteer::Listing<heathersteer::BackendServer>> done) = 0;
 
   virtual void ReadHosts(
-      Done<std::vector<heathersteer::HostRegistration>> done) = 0;
+      Done<heathersteer::Listing<heathersteer::HostRegistration>> done) = 0;
 
   /// Writes this host's registration; returns its version.
   virtual void Register(const heathersteer::HostRegistration& self,
-                        Done<std::uint64_t> done) = 0;
+                        Done<heathersteer::StoreVersion> done) = 0;
 };
 
 }  // namespace heathergate
--- a/src/include/heathersteer/backend_server.h
+++ b/src/include/heathersteer/backend_server.h
@@ -25,10 +25,19 @@
   /// Start time as reported by the server; distinguishes incarnations of one
   /// id.
   std::int64_t started_ms = 0;
+  /// Sequence number of the server's report about itself; starts anew with each
+  /// incarnation.
+  std::int64_t report_sequence = 0;
 
   bool operator==(const BackendServer&) const = default;
 };
 
+/// Whether two reports describe the same state; the later of them repeats it.
+inline bool SameState(const BackendServer& a, BackendServer b) {
+  b.report_sequence = a.report_sequence;
+  return a == b;
+}
+
 }  // namespace heathersteer
 
 #endif  // HEATHERSTEER_BACKEND_SERVER_H_
--- a/src/include/heathersteer/host_registration.h
+++ b/src/include/heathersteer/host_registration.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "heathersteer/store_version.h"
+
 namespace heathersteer {
 
 /// Registration of an entry host, written when the host starts.
@@ -17,7 +19,7 @@
   std::string relay_address;
   std::uint16_t relay_port = 0;
   /// Version of the registration; grows with each start of any host.
-  std::uint64_t registration_version = 0;
+  StoreVersion registration_version;
 
   bool operator==(const HostRegistration&) const = default;
 };
--- a/src/include/heathersteer/relay_order.h
+++ b/src/include/heathersteer/relay_order.h
@@ -1,7 +1,6 @@
 #ifndef HEATHERSTEER_RELAY_ORDER_H_
 #define HEATHERSTEER_RELAY_ORDER_H_
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,7 +24,7 @@
 
   /// Takes over the registration version that a host reported, if it is newer
   /// than the known one.
-  void UpdateRegistration(const std::string& name, std::uint64_t version);
+  void UpdateRegistration(const std::string& name, const StoreVersion& version);
 
   /// Excludes a host that did not respond, or is leaving, for some seconds.
   void MarkFailed(const std::string& name, heatherlever::Instant now);
@@ -34,12 +33,12 @@
   std::optional<HostRegistration> Choose(heatherlever::Instant now) const;
 
   /// Whether a host with this registration version may follow this host.
-  bool MayFollow(std::uint64_t version) const {
+  bool MayFollow(const StoreVersion& version) const {
     return version > self_.registration_version;
   }
 
   const HostRegistration& self() const { return self_; }
-  void set_registration_version(std::uint64_t version) {
+  void set_registration_version(const StoreVersion& version) {
     self_.registration_version = version;
   }
 
--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSTEER_SERVER_LIST_H_
 #define HEATHERSTEER_SERVER_LIST_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -8,29 +9,33 @@
 
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
+#include "heathersteer/listing.h"
 #include "heathersteer/server_delta.h"
 
 namespace heathersteer {
 
 /// The platform's list of backend servers. Servers that the store lost in an
-/// outage stay listed until they had time to register again; until then the
-/// list counts as known as of before the outage.
+/// outage, or by a restore from an older copy, stay listed until they had time
+/// to register again; until then the list counts as known as of before. Reports
+/// that only the older copy brings back are ignored.
 class ServerList {
  public:
   /// Takes over a full list that this host read from the store. Returns whether
   /// a server was added, removed or changed; small differences in the end of
   /// its cold start don't count.
-  bool Update(const std::vector<BackendServer>& servers,
-              heatherlever::Instant now);
+  bool Update(const Listing<BackendServer>& read, heatherlever::Instant now);
 
   /// Takes over the full list of another host, known as of `known_at`, unless
   /// it is older than this one. Returns whether it was taken over.
-  bool Mirror(const std::vector<BackendServer>& servers,
+  bool Mirror(const Listing<BackendServer>& list,
               heatherlever::Instant known_at);
 
   /// Applies the changes of another host's list since it was last sent, unless
-  /// that list is older than this one. Returns whether they were applied.
-  bool Apply(const ServerDelta& delta, heatherlever::Instant known_at);
+  /// that list is older than this one. `timeline` is the one of that list.
+  /// Returns whether they were applied.
+  bool Apply(const ServerDelta& delta,
+             std::uint64_t timeline,
+             heatherlever::Instant known_at);
 
   /// Records that another host confirmed its list as of `known_at`.
   void Confirm(heatherlever::Instant known_at);
@@ -44,13 +49,41 @@
   /// Time as of which the list is known to be complete; 0 before the first one.
   heatherlever::Instant known_at() const { return known_at_; }
 
+  /// Timeline of the store that the list is known from; 0 before the first one.
+  std::uint64_t timeline() const { return timeline_; }
+
  private:
-  bool Merge(const std::vector<BackendServer>& servers);
-  bool DropMissing(const std::vector<BackendServer>& servers);
+  // What a server reported, and the newest timeline in which it was listed.
+  struct Entry {
+    BackendServer server;
+    std::uint64_t timeline = 0;
+  };
+
+  // The last report of a server that is no longer listed.
+  struct Removed {
+    std::int64_t started_ms = 0;
+    std::int64_t report_sequence = 0;
+    std::uint64_t timeline = 0;
+    heatherlever::Instant removed_at{0};
+    // First time at which an older copy of the store listed it again.
+    std::optional<heatherlever::Instant> relisted_at;
+  };
+
+  bool Merge(const Listing<BackendServer>& list, heatherlever::Instant now);
+  bool DropMissing(const Listing<BackendServer>& list,
+                   heatherlever::Instant now);
+  void Remove(std::map<std::string, Entry>::iterator entry,
+              std::uint64_t timeline,
+              heatherlever::Instant now);
+  bool IsRemovedReport(const BackendServer& server,
+                       std::uint64_t timeline,
+                       heatherlever::Instant now);
 
-  std::map<std::string, BackendServer> by_id_;
+  std::map<std::string, Entry> by_id_;
+  std::map<std::string, Removed> removed_;
+  std::uint64_t timeline_ = 0;
   heatherlever::Instant known_at_{0};
-  // Time of the first read after an outage.
+  // Time of the first read after an outage or a restore.
   std::optional<heatherlever::Instant> recovered_at_;
 };
 
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -24,7 +24,9 @@
 using heathernet::EventLoop;
 using heathersteer::BackendServer;
 using heathersteer::HostRegistration;
+using heathersteer::Listing;
 using heathersteer::OperatorState;
+using heathersteer::StoreVersion;
 
 // Delay before a failed registration, or a failed read of them, is retried.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(600);
@@ -116,8 +118,9 @@
 }
 
 void FleetAgent::Register() {
+  registering_ = true;
   source_.Register(
-      relay_order_.self(), [this](absl::StatusOr<std::uint64_t> version) {
+      relay_order_.self(), [this](absl::StatusOr<StoreVersion> version) {
         if (!version.ok()) {
           spdlog::warn("registration failed: {}", version.status().ToString());
           // The configuration may be readable even if registering fails.
@@ -126,10 +129,11 @@
           register_timer_.Start(kRetryDelay, [this] { Register(); });
           return;
         }
+        registering_ = false;
         registered_ = true;
         relay_order_.set_registration_version(*version);
         spdlog::info("registered as {} at version {}", relay_order_.self().name,
-                     *version);
+                     version->number);
         ReadHosts();
       });
 }
@@ -150,7 +154,7 @@
 std::string FleetAgent::MakeQuery() const {
   return EncodeQuery({.list_age = EventLoop::Now() - servers_.known_at(),
                       .list_digest = changes_.digest(),
-                      .operator_version = operator_state_.version});
+                      .operator_version = operator_state_.state().version});
 }
 
 void FleetAgent::OnQuery(const std::shared_ptr<HttpExchange>& exchange) {
@@ -168,14 +172,15 @@
   response.incarnation = incarnation_;
   response.age = now - servers_.known_at();
   response.host_count = host_count_;
+  response.timeline = servers_.timeline();
   if (response.age + kMinAgeGain < query->list_age) {
     response.same_list = query->list_digest == changes_.digest();
     if (!response.same_list) {
       response.servers = changes_.Since(0);
     }
   }
-  if (operator_state_.version > query->operator_version) {
-    response.operator_state = operator_state_;
+  if (operator_state_.state().version > query->operator_version) {
+    response.operator_state = operator_state_.state();
   }
   exchange->Respond(HttpResponse::Of(kStatusOk, EncodeResponse(response, now)));
 }
@@ -194,7 +199,8 @@
   if (response.same_list) {
     servers_.Confirm(known_at);
   }
-  if (response.servers && servers_.Apply(*response.servers, known_at)) {
+  if (response.servers &&
+      servers_.Apply(*response.servers, response.timeline, known_at)) {
     OnServersChanged();
   }
 }
@@ -239,34 +245,45 @@
 }
 
 void FleetAgent::ReadHosts() {
-  const bool first = !hosts_known_;
-  source_.ReadHosts(
-      [this, first](absl::StatusOr<std::vector<HostRegistration>> hosts) {
-        if (!hosts.ok()) {
-          spdlog::warn("registrations not read: {}", hosts.status().ToString());
-          reader_->EnsureReading();
-          hosts_timer_.Start(kRetryDelay, [this] { ReadHosts(); });
-          return;
-        }
-        hosts_known_ = true;
-        relay_order_.SetHosts(*hosts);
-        SetPeers(*hosts);
-        limit_exchange_->SetHosts(relay_order_.self(), *hosts);
-        SetHostCount(std::max(1, static_cast<int>(hosts->size())));
-        spdlog::info("{} hosts are registered", host_count_);
-        if (first) {
-          Follow();
-        }
-        // Later on followers get the number of hosts from the one they follow.
-        hosts_timer_.Start(first ? kSecondHostsReadDelay : kHostsReadInterval,
-                           [this, first] {
-                             if (first || followed_host_.empty()) {
-                               ReadHosts();
-                             } else {
-                               hosts_read_due_ = true;
-                             }
-                           });
-      });
+  source_.ReadHosts([this](absl::StatusOr<Listing<HostRegistration>> hosts) {
+    if (hosts.ok()) {
+      OnHostsRead(*hosts);
+      return;
+    }
+    spdlog::warn("registrations not read: {}", hosts.status().ToString());
+    reader_->EnsureReading();
+    hosts_timer_.Start(kRetryDelay, [this] { ReadHosts(); });
+  });
+}
+
+void FleetAgent::OnHostsRead(const Listing<HostRegistration>& hosts) {
+  const bool first = !std::exchange(hosts_known_, true);
+  const bool restored = !first && hosts.timeline > hosts_.timeline();
+  hosts_.Update(hosts, EventLoop::Now());
+  const std::vector<HostRegistration> known = hosts_.hosts();
+  relay_order_.SetHosts(known);
+  SetPeers(known);
+  limit_exchange_->SetHosts(relay_order_.self(), known);
+  SetHostCount(std::max(1, static_cast<int>(known.size())));
+  spdlog::info("{} hosts are registered", host_count_);
+  const HostRegistration& self = relay_order_.self();
+  if (!registering_ && hosts_.IsLost(self.name, self.registration_version)) {
+    spdlog::warn("the store has lost the registration of {}", self.name);
+    Register();
+  }
+  if (first) {
+    Follow();
+  }
+  // Later on followers get the number of hosts from the one they follow.
+  const bool soon = first || restored;
+  hosts_timer_.Start(soon ? kSecondHostsReadDelay : kHostsReadInterval,
+                     [this, first] {
+                       if (first || followed_host_.empty()) {
+                         ReadHosts();
+                       } else {
+                         hosts_read_due_ = true;
+                       }
+                     });
 }
 
 void FleetAgent::Follow() {
@@ -358,7 +375,7 @@
     servers_.Confirm(known_at);
     return;
   }
-  if (!servers_.Apply(*response.servers, known_at)) {
+  if (!servers_.Apply(*response.servers, response.timeline, known_at)) {
     // Older than this host's list: the full list is needed once it is newer.
     followed_servers_sequence_ = 0;
     return;
@@ -368,6 +385,7 @@
 }
 
 void FleetAgent::ApplyResponse(const RelayResponse& response) {
+  OnTimeline(response.timeline);
   const Instant known_at = EventLoop::Now() - response.age;
   followed_incarnation_ = response.incarnation;
   followed_operator_sequence_ = response.operator_sequence;
@@ -385,6 +403,11 @@
   if (response.limits) {
     ApplyLimits(*response.limits);
   }
+  if (response.registration_lost && !registering_) {
+    spdlog::warn("the store has lost the registration of {}",
+                 relay_order_.self().name);
+    Register();
+  }
   if (ShouldReadStore()) {
     reader_->EnsureReading();
   }
@@ -395,30 +418,31 @@
 }
 
 StoreReaderCallbacks FleetAgent::MakeReaderCallbacks() {
-  return {.should_read = [this] { return ShouldReadStore(); },
-          .is_domain_reader = [this] { return followed_host_.empty(); },
-          .reregistration_time_left =
-              [this] {
-                return servers_.reregistration_time_left(EventLoop::Now());
-              },
-          .on_servers =
-              [this](const std::vector<BackendServer>& servers,
-                     Instant requested_at) {
-                if (servers_.Update(servers, requested_at)) {
-                  OnServersChanged();
-                }
-                RespondToAllPending();
-              },
-          .on_operator_state =
-              [this](const OperatorState& state) { OnOperatorState(state); },
-          .on_servers_failed =
-              [this](const absl::Status& status) {
-                spdlog::warn(
-                    "backend servers not read, the list of {} ms ago stays: {}",
-                    heathersteer::Milliseconds(EventLoop::Now() -
-                                               servers_.known_at()),
-                    status.ToString());
-              }};
+  return {
+      .should_read = [this] { return ShouldReadStore(); },
+      .is_domain_reader = [this] { return followed_host_.empty(); },
+      .reregistration_time_left =
+          [this] {
+            return servers_.reregistration_time_left(EventLoop::Now());
+          },
+      .on_servers =
+          [this](const Listing<BackendServer>& servers, Instant requested_at) {
+            OnTimeline(servers.timeline);
+            if (servers_.Update(servers, requested_at)) {
+              OnServersChanged();
+            }
+            RespondToAllPending();
+          },
+      .on_operator_state =
+          [this](const OperatorState& state) { OnOperatorState(state); },
+      .on_servers_failed =
+          [this](const absl::Status& status) {
+            spdlog::warn(
+                "backend servers not read, the list of {} ms ago stays: {}",
+                heathersteer::Milliseconds(EventLoop::Now() -
+                                           servers_.known_at()),
+                status.ToString());
+          }};
 }
 
 void FleetAgent::OnServersChanged() {
@@ -430,21 +454,38 @@
 }
 
 void FleetAgent::OnOperatorState(const OperatorState& state) {
-  if (state.version <= operator_state_.version) {
-    if (state.version < operator_state_.version) {
-      spdlog::info(
-          "operator's state at version {} ignored, version {} is known",
-          state.version, operator_state_.version);
-    }
-    return;
-  }
-  const bool changed = state.document != operator_state_.document ||
-                       state.evacuated != operator_state_.evacuated;
-  operator_state_ = state;
-  if (changed) {
+  const StoreVersion known = operator_state_.state().version;
+  if (operator_state_.Update(state, EventLoop::Now())) {
     ++operator_sequence_;
-    listener_.on_operator_state(operator_state_);
+    NotifyOperatorState();
     RespondWithUpdates();
+  } else if (state.version < known) {
+    spdlog::info(
+        "operator's state at version {} of timeline {} ignored, version {} of "
+        "timeline {} is known",
+        state.version.number, state.version.timeline, known.number,
+        known.timeline);
+  }
+  OnTimeline(state.version.timeline);
+}
+
+void FleetAgent::NotifyOperatorState() {
+  listener_.on_operator_state(operator_state_.effective());
+}
+
+void FleetAgent::OnTimeline(std::uint64_t timeline) {
+  if (timeline <= timeline_) {
+    return;
+  }
+  const bool restored = std::exchange(timeline_, timeline) != 0;
+  if (!restored || !hosts_known_) {
+    return;
+  }
+  if (followed_host_.empty()) {
+    ReadHosts();
+  } else {
+    // The followed host reports whether this host's registration is lost.
+    hosts_read_due_ = true;
   }
 }
 
@@ -528,6 +569,9 @@
   RelayResponse response;
   response.incarnation = incarnation_;
   response.registration_version = relay_order_.self().registration_version;
+  response.registration_lost =
+      hosts_.IsLost(request.name, request.registration_version);
+  response.timeline = servers_.timeline();
   response.age = now - servers_.known_at();
   response.host_count = host_count_;
   response.servers_sequence = changes_.sequence();
@@ -538,7 +582,7 @@
         changes_.Since(same ? request.servers_sequence : std::uint64_t{0});
   }
   if (!same || request.operator_sequence != operator_sequence_) {
-    response.operator_state = operator_state_;
+    response.operator_state = operator_state_.state();
   }
   if (!same || request.live_sequence != live_sequence_) {
     response.caller_endpoints = CallerEndpoints();
@@ -596,6 +640,9 @@
 void FleetAgent::Tick() {
   const Instant now = EventLoop::Now();
   ExchangeLimits();
+  if (operator_state_.Expire(now)) {
+    NotifyOperatorState();
+  }
   if (live_hosts_.Expire(now)) {
     ++live_sequence_;
     RespondWithUpdates();
--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -15,6 +15,7 @@
 using heathersteer::LimitSummary;
 using heathersteer::OperatorState;
 using heathersteer::ServerDelta;
+using heathersteer::StoreVersion;
 using nlohmann::json;
 
 // Demand is sent in thousandths of a request/s.
@@ -22,11 +23,17 @@
 
 json FromServer(const BackendServer& server, Instant now) {
   const Duration cold = std::max(Duration(0), server.cold_until - now);
-  return {{"id", server.id},           {"service", server.service},
-          {"address", server.address}, {"port", server.port},
-          {"region", server.region},   {"domain", server.domain},
-          {"slots", server.slots},     {"draining", server.draining},
-          {"cold_us", cold.count()},   {"started_ms", server.started_ms}};
+  return {{"id", server.id},
+          {"service", server.service},
+          {"address", server.address},
+          {"port", server.port},
+          {"region", server.region},
+          {"domain", server.domain},
+          {"slots", server.slots},
+          {"draining", server.draining},
+          {"cold_us", cold.count()},
+          {"started_ms", server.started_ms},
+          {"report", server.report_sequence}};
 }
 
 BackendServer ToServer(const json& value, Instant now) {
@@ -42,19 +49,31 @@
   const Duration cold(value.at("cold_us").get<std::int64_t>());
   server.cold_until = cold.count() > 0 ? now + cold : Instant{0};
   server.started_ms = value.at("started_ms").get<std::int64_t>();
+  server.report_sequence = value.at("report").get<std::int64_t>();
   return server;
 }
 
+json FromVersion(const StoreVersion& version) {
+  return {version.timeline, version.number};
+}
+
+StoreVersion ToVersion(const json& value) {
+  return {.timeline = value.at(0).get<std::uint64_t>(),
+          .number = value.at(1).get<std::uint64_t>()};
+}
+
 json FromOperator(const OperatorState& state) {
-  return {{"version", state.version},
+  return {{"version", FromVersion(state.version)},
           {"document", state.document},
+          {"document_version", state.document_version},
           {"evacuated", state.evacuated}};
 }
 
 OperatorState ToOperator(const json& value) {
   OperatorState state;
-  state.version = value.at("version").get<std::uint64_t>();
+  state.version = ToVersion(value.at("version"));
   state.document = value.at("document").get<std::string>();
+  state.document_version = value.at("document_version").get<std::uint64_t>();
   state.evacuated = value.at("evacuated").get<std::set<std::string>>();
   return state;
 }
@@ -112,7 +131,9 @@
 RelayResponse ToResponse(const json& value, Instant now) {
   RelayResponse response;
   response.incarnation = value.at("instance").get<std::string>();
-  response.registration_version = value.at("joined").get<std::uint64_t>();
+  response.registration_version = ToVersion(value.at("joined"));
+  response.registration_lost = value.at("lost").get<bool>();
+  response.timeline = value.at("timeline").get<std::uint64_t>();
   response.age = Duration(value.at("age_us").get<std::int64_t>());
   response.host_count = value.at("hosts").get<int>();
   response.servers_sequence = value.at("servers_sequence").get<std::uint64_t>();
@@ -140,7 +161,9 @@
 
 std::string EncodeResponse(const RelayResponse& response, Instant now) {
   json value = {{"instance", response.incarnation},
-                {"joined", response.registration_version},
+                {"joined", FromVersion(response.registration_version)},
+                {"lost", response.registration_lost},
+                {"timeline", response.timeline},
                 {"age_us", response.age.count()},
                 {"hosts", response.host_count},
                 {"servers_sequence", response.servers_sequence},
@@ -174,7 +197,7 @@
 std::string EncodeRequest(const RelayRequest& request, Instant now) {
   json value = {{"name", request.name},
                 {"front", request.caller_endpoint},
-                {"joined", request.registration_version},
+                {"joined", FromVersion(request.registration_version)},
                 {"ready", request.ready},
                 {"instance", request.incarnation},
                 {"servers_sequence", request.servers_sequence},
@@ -193,7 +216,7 @@
     RelayRequest request;
     request.name = value.at("name").get<std::string>();
     request.caller_endpoint = value.at("front").get<std::string>();
-    request.registration_version = value.at("joined").get<std::uint64_t>();
+    request.registration_version = ToVersion(value.at("joined"));
     request.ready = value.at("ready").get<bool>();
     request.incarnation = value.at("instance").get<std::string>();
     request.servers_sequence =
@@ -230,7 +253,7 @@
 std::string EncodeQuery(const UpdateQuery& query) {
   return json{{"list_age_us", query.list_age.count()},
               {"list_digest", query.list_digest},
-              {"operator_version", query.operator_version}}
+              {"operator_version", FromVersion(query.operator_version)}}
       .dump();
 }
 
@@ -240,7 +263,7 @@
     UpdateQuery query;
     query.list_age = Duration(value.at("list_age_us").get<std::int64_t>());
     query.list_digest = value.at("list_digest").get<std::uint64_t>();
-    query.operator_version = value.at("operator_version").get<std::uint64_t>();
+    query.operator_version = ToVersion(value.at("operator_version"));
     return query;
   } catch (const json::exception&) {
     return std::nullopt;  // The calling code responds with 400.
--- a/src/libheathergate/relay_codec.h
+++ b/src/libheathergate/relay_codec.h
@@ -11,6 +11,7 @@
 #include "heathersteer/limit_summary.h"
 #include "heathersteer/operator_state.h"
 #include "heathersteer/server_delta.h"
+#include "heathersteer/store_version.h"
 
 namespace heathergate {
 
@@ -18,7 +19,7 @@
 struct RelayRequest {
   std::string name;
   std::string caller_endpoint;
-  std::uint64_t registration_version = 0;
+  heathersteer::StoreVersion registration_version;
   bool ready = false;
   /// Incarnation of the followed host that the sequence numbers belong to.
   std::string incarnation;
@@ -43,14 +44,18 @@
   /// Digest of that list.
   std::uint64_t list_digest = 0;
   /// Version of the sender's copy of the operator's state.
-  std::uint64_t operator_version = 0;
+  heathersteer::StoreVersion operator_version;
 };
 
 /// Response to a RelayRequest or an UpdateQuery. Parts without an update are
 /// absent.
 struct RelayResponse {
   std::string incarnation;
-  std::uint64_t registration_version = 0;
+  heathersteer::StoreVersion registration_version;
+  /// Whether the store has lost the receiver's registration.
+  bool registration_lost = false;
+  /// Timeline of the store that the list of servers is known from.
+  std::uint64_t timeline = 0;
   /// Age of the list of servers: time since it was last known to be complete.
   heatherlever::Duration age{0};
   int host_count = 0;
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -11,15 +11,21 @@
 TEST(RelayCodecTest, ResponseRoundTripKeepsUpdatesAndRemainingColdTime) {
   RelayResponse response;
   response.incarnation = "one";
-  response.registration_version = 7;
+  response.registration_version = {.timeline = 2, .number = 7};
+  response.registration_lost = true;
+  response.timeline = 3;
   response.age = milliseconds(300);
   response.host_count = 22;
   response.servers_sequence = 3;
   heathersteer::BackendServer server;
   server.id = "i-1";
   server.cold_until = seconds(13);
+  server.report_sequence = 5;
   response.servers = {.full = false, .changed = {server}, .removed = {"i-2"}};
-  response.operator_state.emplace().document = "{\"version\":7}";
+  response.operator_state = {.version = {.timeline = 3, .number = 60},
+                             .document = "{\"version\":7}",
+                             .document_version = 7,
+                             .evacuated = {"north-a"}};
   response.caller_endpoints = {"10.0.0.1:80"};
   response.limits = {.hosts = 4,
                      .reports = {{.server_id = "i-1",
@@ -34,6 +40,10 @@
   EXPECT_EQ(decoded->age, milliseconds(300));
   EXPECT_FALSE(decoded->servers->full);
   EXPECT_EQ(decoded->servers->changed.front().cold_until, seconds(503));
+  EXPECT_EQ(decoded->servers->changed.front().report_sequence, 5);
+  EXPECT_EQ(decoded->registration_version, response.registration_version);
+  EXPECT_TRUE(decoded->registration_lost);
+  EXPECT_EQ(decoded->timeline, 3U);
   EXPECT_EQ(decoded->servers->removed, std::vector<std::string>{"i-2"});
   EXPECT_EQ(*decoded->operator_state, *response.operator_state);
   EXPECT_EQ(*decoded->caller_endpoints, *response.caller_endpoints);
@@ -60,11 +70,11 @@
 TEST(RelayCodecTest, QueryRoundTripKeepsAgeDigestAndVersion) {
   const auto decoded = DecodeQuery(EncodeQuery({.list_age = seconds(12),
                                                 .list_digest = UINT64_MAX,
-                                                .operator_version = 60}));
+                                                .operator_version = {2, 60}}));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->list_age, seconds(12));
   EXPECT_EQ(decoded->list_digest, UINT64_MAX);
-  EXPECT_EQ(decoded->operator_version, 60U);
+  EXPECT_EQ(decoded->operator_version, (heathersteer::StoreVersion{2, 60}));
 }
 
 TEST(RelayCodecTest, MalformedTextDecodesToNothing) {
--- a/src/libheathergate/store_reader.cc
+++ b/src/libheathergate/store_reader.cc
@@ -16,6 +16,7 @@
 using heatherlever::Instant;
 using heathernet::EventLoop;
 using heathersteer::BackendServer;
+using heathersteer::Listing;
 using heathersteer::OperatorState;
 
 // Delay before the next watch call after a change of the operator's state, so
@@ -51,7 +52,7 @@
   servers_read_in_flight_ = true;
   const Instant requested_at = EventLoop::Now();
   source_.ReadServers(
-      [this, requested_at](absl::StatusOr<std::vector<BackendServer>> servers) {
+      [this, requested_at](absl::StatusOr<Listing<BackendServer>> servers) {
         servers_read_in_flight_ = false;
         if (servers.ok()) {
           callbacks_.on_servers(*servers, requested_at);
@@ -106,7 +107,7 @@
       }
     } else {
       spdlog::warn("operator's state not read, version {} stays: {}",
-                   operator_version_, state.status().ToString());
+                   operator_version_.number, state.status().ToString());
       delay = backoff_.RetryDelay(callbacks_.is_domain_reader());
     }
     operator_timer_.Start(delay, [this] {
--- a/src/libheathergate/store_reader.h
+++ b/src/libheathergate/store_reader.h
@@ -4,13 +4,14 @@
 #include <absl/status/status.h>
 
 #include <functional>
-#include <vector>
 
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
+#include "heathersteer/listing.h"
 #include "heathersteer/operator_state.h"
 #include "heathersteer/store_read_backoff.h"
+#include "heathersteer/store_version.h"
 
 namespace heathernet {
 class EventLoop;
@@ -32,7 +33,7 @@
   std::function<heatherlever::Duration()> reregistration_time_left;
   /// Called with the list of servers as of `requested_at`, the time of the
   /// read.
-  std::function<void(const std::vector<heathersteer::BackendServer>&,
+  std::function<void(const heathersteer::Listing<heathersteer::BackendServer>&,
                      heatherlever::Instant requested_at)>
       on_servers;
   std::function<void(const heathersteer::OperatorState&)> on_operator_state;
@@ -71,7 +72,7 @@
   // the delay until the next one.
   bool servers_read_in_flight_ = false;
   // Version of the operator's state at the last read.
-  std::uint64_t operator_version_ = 0;
+  heathersteer::StoreVersion operator_version_;
 };
 
 }  // namespace heathergate
--- a/src/libheathersteer/relay_order.cc
+++ b/src/libheathersteer/relay_order.cc
@@ -37,7 +37,7 @@
 }
 
 void RelayOrder::UpdateRegistration(const std::string& name,
-                                    std::uint64_t version) {
+                                    const StoreVersion& version) {
   const auto found = hosts_.find(name);
   if (found != hosts_.end()) {
     found->second.registration_version =
--- a/src/libheathersteer/relay_order_test.cc
+++ b/src/libheathersteer/relay_order_test.cc
@@ -16,7 +16,7 @@
   HostRegistration host;
   host.name = name;
   host.domain = domain;
-  host.registration_version = version;
+  host.registration_version = {.timeline = 1, .number = version};
   return host;
 }
 
@@ -51,16 +51,16 @@
 // After all hosts have restarted, hosts that know old registrations may follow
 // each other in a cycle; a response with the newer version breaks it.
 TEST_F(RelayOrderTest, AHostThatRegisteredAgainIsNoLongerFollowed) {
-  order_.UpdateRegistration("first", 20);
+  order_.UpdateRegistration("first", {1, 20});
   EXPECT_EQ(Chosen(kNow), "second");
-  order_.UpdateRegistration("second", 21);
+  order_.UpdateRegistration("second", {1, 21});
   EXPECT_EQ(Chosen(kNow), "");
-  EXPECT_TRUE(order_.MayFollow(20));
-  EXPECT_FALSE(order_.MayFollow(4));
+  EXPECT_TRUE(order_.MayFollow({1, 20}));
+  EXPECT_FALSE(order_.MayFollow({1, 4}));
 }
 
 TEST_F(RelayOrderTest, AnOlderReadDoesNotReplaceAReportedVersion) {
-  order_.UpdateRegistration("first", 20);
+  order_.UpdateRegistration("first", {1, 20});
   order_.SetHosts({MakeHost("first", 1), MakeHost("second", 2)});
   EXPECT_EQ(Chosen(kNow), "second");
 }
--- a/src/libheathersteer/server_change_log.cc
+++ b/src/libheathersteer/server_change_log.cc
@@ -34,8 +34,10 @@
   for (const BackendServer& server : servers) {
     present.insert(server.id);
     const auto [entry, added] = entries_.try_emplace(server.id);
-    if (added || !(entry->second.server == server)) {
+    if (added || !SameState(entry->second.server, server)) {
       entry->second = {server, sequence_};
+    } else {
+      entry->second.server = server;
     }
   }
   std::erase_if(entries_, [&](const auto& entry) {
--- a/src/libheathersteer/server_change_log_test.cc
+++ b/src/libheathersteer/server_change_log_test.cc
@@ -74,6 +74,16 @@
   EXPECT_EQ(changes.Since(known).changed.size(), 1U);
 }
 
+TEST(ServerChangeLogTest, AReportThatRepeatsTheStateIsNoChange) {
+  ServerChangeLog changes;
+  BackendServer server = MakeServer("a");
+  changes.Update({server});
+  const std::uint64_t known = changes.sequence();
+  server.report_sequence = 2;
+  changes.Update({server, MakeServer("b")});
+  EXPECT_EQ(changes.Since(known).changed.size(), 1U);
+}
+
 // A follower that applies the deltas since any earlier sequence number has the
 // list of the host that it follows.
 TEST(ServerChangeLogTest, DeltasGiveTheSameListAsFullLists) {
@@ -95,7 +105,7 @@
       if (*rc::gen::inRange(0, 3) == 0) {
         continue;  // The follower misses this change.
       }
-      RC_ASSERT(follower.Apply(changes.Since(known), ++now));
+      RC_ASSERT(follower.Apply(changes.Since(known), 1, ++now));
       known = changes.sequence();
       RC_ASSERT(follower.servers() == list);
     }
