Log the fingerprint of requests whose exchange broke

Operators could not tell from the logs that one request was running whenever a server ended: lines name the id of an attempt, which differs each time.

A fingerprint hashes method, host, target, authorization, affinity key and body; it is equal for all attempts of one request at all hosts.

--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -14,6 +14,7 @@
 #include "heathersteer/steering_rules.h"
 #include "libheathergate/load_report.h"
 #include "libheathergate/rate_limit_field.h"
+#include "libheathergate/request_fingerprint.h"
 #include "libheathergate/time_left.h"
 
 namespace heathergate {
@@ -239,6 +240,13 @@
                                                   : AttemptOutcome::kAnswered;
 }
 
+std::uint64_t ForwardedRequest::Fingerprint() {
+  if (!fingerprint_) {
+    fingerprint_ = RequestFingerprint(*exchange_, gateway_.options_.names);
+  }
+  return *fingerprint_;
+}
+
 void ForwardedRequest::UpdateServerHealth(const CallResult& result,
                                           AttemptOutcome outcome) {
   const Instant now = EventLoop::Now();
@@ -246,9 +254,11 @@
   if (result.outcome != CallOutcome::kAnswered) {
     ++gateway_.counters_.broken_sends;
     health.RecordFailure(now);
-    spdlog::info("request id={} broken at {} after {} ms: {}; suspended={}",
-                 id_, server_->server.id, Milliseconds(now - sent_at_),
-                 result.error, !health.usable(now));
+    spdlog::info(
+        "request id={} broken at {} after {} ms: {}; suspended={} "
+        "fingerprint={:016x}",
+        id_, server_->server.id, Milliseconds(now - sent_at_), result.error,
+        !health.usable(now), Fingerprint());
     return;
   }
   const auto load =
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,7 @@
   void OnCallDone(const CallResult& result);
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
+  std::uint64_t Fingerprint();
   void UpdateServerHealth(const CallResult& result,
                           heathersteer::AttemptOutcome outcome);
   void Proceed(heathersteer::NextStep step, const CallResult& result);
@@ -75,6 +77,8 @@
   heathersteer::AttemptPolicy policy_;
   std::string id_;
   std::string affinity_key_;
+  // Computed when it is needed.
+  std::optional<std::uint64_t> fingerprint_;
   heatherlever::Instant caller_deadline_{0};
   heatherlever::Instant deadline_{0};
   Timer deadline_timer_;
