--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -186,6 +186,7 @@
         self.runs = []
         self.seen = []
         self.closed_by_peer = 0
+        self.connections = set()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -193,6 +194,16 @@
     def close(self):
         self.listener.close()
 
+    def crash(self):
+        """Stops accepting, and ends all connections without a response."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # The entry host has closed it.
+
     def accept(self):
         while True:
             try:
@@ -202,6 +213,7 @@
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
+        self.connections.add(connection)
         with connection, connection.makefile("rb") as stream:
             while True:
                 request = read_message(stream)
