Quarantine requests that crash servers, at all hosts

Cause: nothing connected the end of a server with the requests that were running on it, at one host or across hosts.

Change: each host records which requests ran on a server whose connection ended. A request that ran on three servers at their ends, and that no server completed since, is not sent for five minutes after the last end and then once on trial; it is rejected at once with the time that is left in Retry-After. What merely ran beside the cause of an end is not suspected for it. The exchange of limits carries the suspects too: a change is sent at once to the relay of the domain, from there to those of all domains, and by pending long polls to every host; it is repeated for 3 s. A host that starts gets all of them. 1,024 suspects a host, 64 in a message. LimitExchange lets a newer body wait for a response instead of replacing the host that is asked.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -14,6 +14,7 @@
 #include "heathergate/http_client.h"
 #include "heathergate/http_server.h"
 #include "heathergate/timer.h"
+#include "heathersteer/crash_suspect_table.h"
 #include "heathersteer/host_table.h"
 #include "heathersteer/limit_pool.h"
 #include "heathersteer/limit_summary.h"
@@ -48,6 +49,9 @@
   std::function<heathersteer::LimitSummary()> report_limits;
   /// Limits and demand of all hosts known.
   std::function<void(const heathersteer::LimitSummary&)> on_limits;
+  /// This host's table of requests that crash servers. The agent adds what
+  /// other hosts observe.
+  std::function<heathersteer::CrashSuspectTable&()> crash_suspects;
 };
 
 /// Keeps an entry host up to date with the operator's state, the backend
@@ -78,6 +82,9 @@
   /// Notifies the other hosts that this host accepts no more requests.
   void StartLeaving();
 
+  /// Notifies the other hosts of changes in this host's crash suspects.
+  void ShareCrashSuspects();
+
   /// Whether this host accepts requests; the other hosts list it if so.
   void set_ready(bool ready);
 
@@ -119,7 +126,14 @@
   void RespondToAllPending();
   void SendResponse(PendingRequest& pending);
   heathersteer::LimitSummary CollectDomainLimits();
-  void OnDomainLimits(const std::shared_ptr<HttpExchange>& exchange);
+  void OnDomainReport(const std::shared_ptr<HttpExchange>& exchange);
+  void MergeCrashSuspects(
+      const std::vector<heathersteer::CrashSuspect>& suspects,
+      const std::string& domain);
+  void LogQuarantined();
+  void OnSuspectsReply(const std::string& body);
+  void SendCrashSuspects();
+  void SendDomainReport(heatherlever::Instant now);
   void ApplyLimits(heathersteer::LimitSummary limits);
   void ExchangeLimits();
   void Tick();
@@ -142,6 +156,7 @@
   Timer follow_timer_;
   Timer response_timer_;
   Timer tick_timer_;
+  Timer suspects_timer_;
   std::list<PendingRequest> pending_;
   // Limit summaries of this host and of those that follow it, and of domains.
   heathersteer::LimitPool host_limits_;
@@ -150,6 +165,10 @@
   heathersteer::LimitSummary all_limits_;
   heatherlever::Instant all_limits_at_{0};
   heatherlever::Instant limits_exchanged_at_{0};
+  bool suspects_due_ = false;
+  std::size_t logged_quarantined_ = 0;
+  // Whether suspects from before this host's start are still to be asked for.
+  bool needs_suspects_ = true;
   std::vector<HttpPeer> seeds_;
   std::shared_ptr<HttpCall> relay_call_;
   // Random identifier that distinguishes the sequence numbers of this
@@ -163,6 +182,7 @@
   std::uint64_t followed_servers_sequence_ = 0;
   std::uint64_t followed_operator_sequence_ = 0;
   std::uint64_t followed_live_sequence_ = 0;
+  std::uint64_t followed_suspects_sequence_ = 0;
   std::vector<std::string> followed_endpoints_;
   // Empty while this host reads the store for its domain.
   std::string followed_host_;
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -2,6 +2,7 @@
 #define HEATHERGATE_GATEWAY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -14,6 +15,7 @@
 #include "heathergate/latency_histogram.h"
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
+#include "heathersteer/crash_suspect_table.h"
 #include "heathersteer/limit_summary.h"
 #include "heathersteer/overload_throttle.h"
 #include "heathersteer/placement.h"
@@ -84,6 +86,18 @@
   /// included, reported.
   void ApplyLimits(const heathersteer::LimitSummary& limits);
 
+  /// Requests that were running when backend servers ended.
+  heathersteer::CrashSuspectTable& crash_suspects() { return crash_suspects_; }
+
+  /// Sets a function that is called when this host observes that a request
+  /// crashes servers, or that a suspected one does not.
+  void OnCrashSuspect(std::function<void()> function) {
+    on_crash_suspect_ = std::move(function);
+  }
+
+  /// Number of requests that are not sent, as they crash servers.
+  std::size_t quarantined() const;
+
   /// Number of backend servers whose rate limit is in force.
   std::size_t limited_servers() const;
 
@@ -101,6 +115,7 @@
   void ForwardStartupQueue();
   void OnStartupWaitExpired(const std::shared_ptr<HttpExchange>& exchange);
   HttpResponse Rejection(heatherlever::Duration time_left);
+  HttpResponse RejectionFor(heatherlever::Duration retry_after);
   heathersteer::OverloadThrottle& Throttle(const std::string& route);
   heathersteer::RetryBudget& Budget(const std::string& service);
   void Retain(const std::shared_ptr<ForwardedRequest>& request);
@@ -121,6 +136,8 @@
   heathersteer::TrafficSplit traffic_split_;
   heathersteer::ShiftLimiter shift_limiter_;
   heathersteer::WaitQueue queue_;
+  heathersteer::CrashSuspectTable crash_suspects_;
+  std::function<void()> on_crash_suspect_ = [] {};
   std::shared_ptr<const heathersteer::TrafficConfig> config_;
   std::shared_ptr<const heathersteer::RouteTable> routes_;
   std::shared_ptr<heathersteer::SteeringRules> rules_;
--- a/src/include/heathergate/gateway_counters.h
+++ b/src/include/heathergate/gateway_counters.h
@@ -24,6 +24,8 @@
   /// Requests rejected because too many requests of the route missed their
   /// deadlines.
   std::uint64_t throttled = 0;
+  /// Requests that were not sent because they crash servers.
+  std::uint64_t quarantined = 0;
   /// Requests sent to servers with a rate limit.
   std::uint64_t limited_sends = 0;
 };
--- a/src/include/heathergate/http_call.h
+++ b/src/include/heathergate/http_call.h
@@ -27,6 +27,8 @@
   CallOutcome outcome = CallOutcome::kNotSent;
   HttpHead head;
   std::string body;
+  /// Whether the call failed because the peer ended the connection.
+  bool ended_by_peer = false;
   /// Error text for logs; empty unless the call failed.
   std::string error;
 };
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -44,6 +44,9 @@
 
 // Interval between two exchanges of limits and demand while there are limits.
 constexpr Duration kLimitsInterval = std::chrono::milliseconds(450);
+// Delay before newly suspected requests are sent, so that those of one crash go
+// together.
+constexpr Duration kSuspectsDelay = std::chrono::milliseconds(15);
 // Age from which on limits are not passed on.
 constexpr Duration kMaxLimitsAge = std::chrono::seconds(1);
 
@@ -92,7 +95,9 @@
           loop,
           [this] { return MakeQuery(); },
           [this](const RelayResponse& response) { OnPeerResponse(response); })),
-      limit_exchange_(std::make_unique<LimitExchange>(loop)),
+      limit_exchange_(std::make_unique<LimitExchange>(
+          loop,
+          [this](const std::string& body) { OnSuspectsReply(body); })),
       server_(loop,
               self.relay_address,
               self.relay_port,
@@ -104,6 +109,7 @@
       follow_timer_(loop),
       response_timer_(loop),
       tick_timer_(loop),
+      suspects_timer_(loop),
       incarnation_(RandomIncarnation()) {}
 
 FleetAgent::~FleetAgent() = default;
@@ -325,7 +331,9 @@
       .servers_sequence = same ? followed_servers_sequence_ : 0,
       .operator_sequence = same ? followed_operator_sequence_ : 0,
       .live_sequence = same ? followed_live_sequence_ : 0,
-      .limits = CollectDomainLimits()};
+      .suspects_sequence = same ? followed_suspects_sequence_ : 0,
+      .limits = CollectDomainLimits(),
+      .suspects = listener_.crash_suspects().Recent(EventLoop::Now())};
   const std::string body = EncodeRequest(request, EventLoop::Now());
   response_timer_.Start(timing_.long_poll_timeout + kResponseSlack,
                         [this, host] {
@@ -390,6 +398,11 @@
   followed_incarnation_ = response.incarnation;
   followed_operator_sequence_ = response.operator_sequence;
   followed_live_sequence_ = response.live_sequence;
+  followed_suspects_sequence_ = response.suspects_sequence;
+  needs_suspects_ = false;
+  if (listener_.crash_suspects().Merge(response.suspects, EventLoop::Now())) {
+    LogQuarantined();
+  }
   if (response.operator_state) {
     OnOperatorState(*response.operator_state);
   }
@@ -495,7 +508,7 @@
     return;
   }
   if (exchange->head().target == LimitExchange::kPath) {
-    OnDomainLimits(exchange);
+    OnDomainReport(exchange);
     return;
   }
   const auto request = DecodeRequest(exchange->body(), EventLoop::Now());
@@ -520,6 +533,7 @@
   if (request->limits) {
     host_limits_.Record(request->name, *request->limits, now);
   }
+  MergeCrashSuspects(request->suspects, relay_order_.self().domain);
   if (live_hosts_.RecordReport(request->caller_endpoint, request->ready, now)) {
     ++live_sequence_;
     RespondWithUpdates();
@@ -538,7 +552,8 @@
   return request.incarnation != incarnation_ ||
          request.servers_sequence != changes_.sequence() ||
          request.operator_sequence != operator_sequence_ ||
-         request.live_sequence != live_sequence_;
+         request.live_sequence != live_sequence_ ||
+         request.suspects_sequence != listener_.crash_suspects().sequence();
 }
 
 void FleetAgent::RespondWithUpdates() {
@@ -590,6 +605,9 @@
   if (!all_limits_.reports.empty() && now - all_limits_at_ <= kMaxLimitsAge) {
     response.limits = all_limits_;
   }
+  const heathersteer::CrashSuspectTable& suspects = listener_.crash_suspects();
+  response.suspects_sequence = suspects.sequence();
+  response.suspects = suspects.Since(same ? request.suspects_sequence : 0);
   pending.exchange->Respond(
       HttpResponse::Of(kStatusOk, EncodeResponse(response, now)));
 }
@@ -600,19 +618,37 @@
   return host_limits_.Sum(now);
 }
 
-void FleetAgent::OnDomainLimits(const std::shared_ptr<HttpExchange>& exchange) {
+void FleetAgent::OnDomainReport(const std::shared_ptr<HttpExchange>& exchange) {
   const Instant now = EventLoop::Now();
-  auto received = DecodeDomainLimits(exchange->body(), now);
-  if (!received) {
+  auto report = DecodeDomainReport(exchange->body(), now);
+  if (!report) {
     exchange->Respond(HttpResponse::Of(kStatusBadRequest));
     return;
   }
+  MergeCrashSuspects(report->suspects, report->domain);
   if (!followed_host_.empty()) {
     exchange->Respond(HttpResponse::Of(kStatusConflict, followed_host_));
     return;
   }
-  domain_limits_.Record(received->domain, std::move(received->limits), now);
-  exchange->Respond(HttpResponse::Of(kStatusOk));
+  if (report->limits) {
+    domain_limits_.Record(report->domain, *std::move(report->limits), now);
+  }
+  exchange->Respond(HttpResponse::Of(
+      kStatusOk, report->needs_suspects
+                     ? EncodeSuspects(listener_.crash_suspects().Since(0), now)
+                     : ""));
+}
+
+void FleetAgent::OnSuspectsReply(const std::string& body) {
+  const Instant now = EventLoop::Now();
+  const auto suspects = DecodeSuspects(body, now);
+  if (!suspects) {
+    spdlog::warn("unreadable response to a report of limits: {} bytes",
+                 body.size());
+    return;
+  }
+  needs_suspects_ = false;
+  listener_.crash_suspects().Merge(*suspects, now);
 }
 
 void FleetAgent::ApplyLimits(heathersteer::LimitSummary limits) {
@@ -627,16 +663,74 @@
     return;
   }
   limits_exchanged_at_ = now;
-  const std::string& domain = relay_order_.self().domain;
-  const heathersteer::LimitSummary own = CollectDomainLimits();
-  domain_limits_.Record(domain, own, now);
+  domain_limits_.Record(relay_order_.self().domain, CollectDomainLimits(), now);
   ApplyLimits(domain_limits_.Sum(now));
-  if (!all_limits_.reports.empty()) {
-    limit_exchange_->Send(EncodeDomainLimits({domain, own}, now));
+  const bool suspects = !listener_.crash_suspects().Recent(now).empty();
+  const bool limits = !all_limits_.reports.empty();
+  if (limits || suspects || (needs_suspects_ && hosts_known_)) {
+    SendDomainReport(now);
+  }
+  if (limits) {
     RespondToAllPending();
   }
 }
 
+void FleetAgent::SendDomainReport(Instant now) {
+  limit_exchange_->Send(
+      EncodeDomainReport({.domain = relay_order_.self().domain,
+                          .limits = CollectDomainLimits(),
+                          .suspects = listener_.crash_suspects().Recent(now),
+                          .needs_suspects = needs_suspects_},
+                         now));
+}
+
+void FleetAgent::LogQuarantined() {
+  const std::size_t count =
+      listener_.crash_suspects().QuarantinedCount(EventLoop::Now());
+  if (count != std::exchange(logged_quarantined_, count)) {
+    spdlog::info("{} requests are quarantined, with those of other hosts",
+                 count);
+  }
+}
+
+void FleetAgent::ShareCrashSuspects() {
+  if (!std::exchange(suspects_due_, true)) {
+    suspects_timer_.Start(kSuspectsDelay, [this] { SendCrashSuspects(); });
+  }
+}
+
+void FleetAgent::SendCrashSuspects() {
+  suspects_due_ = false;
+  const Instant now = EventLoop::Now();
+  RespondWithUpdates();
+  if (followed_host_.empty()) {
+    SendDomainReport(now);
+  } else if (const auto relay = relay_order_.Choose(now)) {
+    limit_exchange_->SendToRelay(
+        {relay->name, relay->relay_address, relay->relay_port},
+        EncodeDomainReport({.domain = relay_order_.self().domain,
+                            .limits = std::nullopt,
+                            .suspects = listener_.crash_suspects().Recent(now),
+                            .needs_suspects = false},
+                           now));
+  }
+}
+
+void FleetAgent::MergeCrashSuspects(
+    const std::vector<heathersteer::CrashSuspect>& suspects,
+    const std::string& domain) {
+  if (!listener_.crash_suspects().Merge(suspects, EventLoop::Now())) {
+    return;
+  }
+  LogQuarantined();
+  if (domain == relay_order_.self().domain && followed_host_.empty()) {
+    ShareCrashSuspects();
+  } else {
+    // The relay that sent them has sent them to all domains.
+    RespondWithUpdates();
+  }
+}
+
 void FleetAgent::Tick() {
   const Instant now = EventLoop::Now();
   ExchangeLimits();
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -112,6 +112,9 @@
 
 bool ForwardedRequest::TryPlace() {
   const Instant now = EventLoop::Now();
+  if (EndQuarantined()) {
+    return false;
+  }
   heathersteer::SteeringRules* rules = gateway_.rules_.get();
   const auto rule =
       rules == nullptr ? std::nullopt : rules->RuleFor(route_, service_.name);
@@ -162,6 +165,9 @@
   sent_at_ = EventLoop::Now();
   gateway_.placement_.Commit(*server_, service_, sent_at_);
   ++gateway_.counters_.sends;
+  if (!gateway_.crash_suspects_.empty()) {
+    gateway_.crash_suspects_.RecordSend(Fingerprint(), sent_at_);
+  }
   if (server_->rate_limit.limit() > 0) {
     ++gateway_.counters_.limited_sends;
   }
@@ -247,6 +253,55 @@
   return *fingerprint_;
 }
 
+bool ForwardedRequest::EndQuarantined() {
+  if (gateway_.crash_suspects_.empty()) {
+    return false;
+  }
+  const Duration left =
+      gateway_.crash_suspects_.QuarantineLeft(Fingerprint(), EventLoop::Now());
+  if (left == Duration(0)) {
+    return false;
+  }
+  ++gateway_.counters_.quarantined;
+  if (policy_.may_have_run()) {
+    Fail(kStatusBadGateway, "it crashes servers");
+  } else {
+    Finish(gateway_.RejectionFor(left), "it crashes servers");
+  }
+  return true;
+}
+
+void ForwardedRequest::RecordCrash() {
+  const heathersteer::BackendServer& server = server_->server;
+  const Instant now = EventLoop::Now();
+  heathersteer::CrashSuspectTable& suspects = gateway_.crash_suspects_;
+  const bool sent_before =
+      suspects.QuarantineLeft(Fingerprint(), now) > Duration(0);
+  const bool news =
+      suspects.RecordCrash(Fingerprint(),
+                           heathersteer::CrashSuspectTable::Incarnation(
+                               server.id, server.started_ms),
+                           now);
+  if (!news) {
+    return;
+  }
+  if (!sent_before &&
+      suspects.QuarantineLeft(Fingerprint(), now) > Duration(0)) {
+    spdlog::warn(
+        "request id={} fingerprint={:016x} quarantined: servers ended under it",
+        id_, Fingerprint());
+  }
+  gateway_.on_crash_suspect_();
+}
+
+void ForwardedRequest::RecordCompletion() {
+  if (!gateway_.crash_suspects_.empty() &&
+      gateway_.crash_suspects_.RecordCompletion(Fingerprint(),
+                                                EventLoop::Now())) {
+    gateway_.on_crash_suspect_();
+  }
+}
+
 void ForwardedRequest::UpdateServerHealth(const CallResult& result,
                                           AttemptOutcome outcome) {
   const Instant now = EventLoop::Now();
@@ -259,6 +314,9 @@
         "fingerprint={:016x}",
         id_, server_->server.id, Milliseconds(now - sent_at_), result.error,
         !health.usable(now), Fingerprint());
+    if (result.outcome == CallOutcome::kBroken && result.ended_by_peer) {
+      RecordCrash();
+    }
     return;
   }
   const auto load =
@@ -270,6 +328,7 @@
     ObserveRateLimit(result, now);
   }
   if (outcome != AttemptOutcome::kNotExecuted) {
+    RecordCompletion();
     health.RecordResponse(now - sent_at_, now);
     return;
   }
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -51,6 +51,10 @@
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
   std::uint64_t Fingerprint();
+  // Ends the request if it is quarantined. Returns whether it was.
+  bool EndQuarantined();
+  void RecordCrash();
+  void RecordCompletion();
   void UpdateServerHealth(const CallResult& result,
                           heathersteer::AttemptOutcome outcome);
   void Proceed(heathersteer::NextStep step, const CallResult& result);
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -134,7 +134,10 @@
 }
 
 HttpResponse Gateway::Rejection(Duration time_left) {
-  const Duration retry_after = heathersteer::RetryAfter(time_left, Random());
+  return RejectionFor(heathersteer::RetryAfter(time_left, Random()));
+}
+
+HttpResponse Gateway::RejectionFor(Duration retry_after) {
   HttpResponse response = HttpResponse::Of(kStatusUnavailable);
   response.fields.push_back(
       {"Retry-After",
@@ -184,6 +187,10 @@
   }
 }
 
+std::size_t Gateway::quarantined() const {
+  return crash_suspects_.QuarantinedCount(EventLoop::Now());
+}
+
 std::size_t Gateway::limited_servers() const {
   return static_cast<std::size_t>(std::count_if(
       servers_.by_id().begin(), servers_.by_id().end(),
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -186,6 +186,7 @@
     Succeed();
     return;
   }
+  ended_by_peer_ = true;
   Fail("the connection ended: " + error.message());
 }
 
@@ -226,6 +227,7 @@
   }
   CallResult result;
   result.outcome = call->sent_ ? CallOutcome::kBroken : CallOutcome::kNotSent;
+  result.ended_by_peer = ended_by_peer_;
   result.error = error;
   call->Finish(std::move(result));
 }
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -70,6 +70,7 @@
   bool closed_ = false;
   // Whether input has arrived that belongs to no request.
   bool unexpected_input_ = false;
+  bool ended_by_peer_ = false;
   heatherlever::Instant idle_since_{0};
   heatherlever::Duration idle_timeout_{0};
 };
--- a/src/libheathergate/limit_exchange.cc
+++ b/src/libheathergate/limit_exchange.cc
@@ -5,25 +5,31 @@
 #include <utility>
 
 #include "heathergate/http_status.h"
+#include "heathernet/event_loop.h"
 #include "heathersteer/host_registration.h"
 
 namespace heathergate {
 namespace {
 
+using heatherlever::Duration;
 using heathernet::EventLoop;
 using heathersteer::HostRegistration;
 
+// Hosts respond at once, and the latency between regions is some tens of
+// milliseconds.
+constexpr Duration kResponseTimeout = std::chrono::milliseconds(400);
+
 HttpClientOptions ClientOptions() {
   HttpClientOptions options;
   options.connect_timeout = std::chrono::milliseconds(250);
-  options.ack_timeout = std::chrono::milliseconds(400);
+  options.ack_timeout = kResponseTimeout;
   return options;
 }
 
 }  // namespace
 
-LimitExchange::LimitExchange(EventLoop& loop)
-    : client_(loop, ClientOptions()) {}
+LimitExchange::LimitExchange(EventLoop& loop, OnReply on_reply)
+    : client_(loop, ClientOptions()), on_reply_(std::move(on_reply)) {}
 
 LimitExchange::~LimitExchange() {
   for (auto& [name, domain] : domains_) {
@@ -31,6 +37,9 @@
       call->Cancel();
     }
   }
+  if (const auto call = std::exchange(relay_.call, nullptr)) {
+    call->Cancel();
+  }
 }
 
 void LimitExchange::SetHosts(const HostRegistration& self,
@@ -53,41 +62,89 @@
 
 void LimitExchange::Send(const std::string& body) {
   for (auto& [name, domain] : domains_) {
-    if (const auto call = std::exchange(domain.call, nullptr)) {
+    SendBody(domain, body);
+  }
+}
+
+void LimitExchange::SendToRelay(const HttpPeer& relay,
+                                const std::string& body) {
+  const bool same =
+      !relay_.hosts.empty() && relay_.hosts.front().name == relay.name;
+  if (!same) {
+    if (const auto call = std::exchange(relay_.call, nullptr)) {
       call->Cancel();
-      ++domain.current;
     }
-    if (domain.hosts.empty()) {
-      continue;
+  }
+  relay_.hosts = {relay};
+  SendBody(relay_, body);
+}
+
+void LimitExchange::SendBody(Destination& destination,
+                             const std::string& body) {
+  if (destination.call != nullptr) {
+    if (EventLoop::Now() - destination.sent_at < kResponseTimeout) {
+      destination.next_body = body;
+      return;
     }
-    domain.current %= domain.hosts.size();
-    const HttpPeer& peer = domain.hosts[domain.current];
-    domain.call =
-        client_.Send(peer, PostHead(kPath, peer.name, body.size()), body, "",
-                     [this, name = name](const CallResult& result) {
-                       OnDone(name, result);
-                     });
+    std::exchange(destination.call, nullptr)->Cancel();
+    ++destination.current;
   }
+  destination.body = body;
+  destination.next_body.clear();
+  destination.redirected = false;
+  StartCall(destination);
 }
 
-void LimitExchange::OnDone(const std::string& name, const CallResult& result) {
-  Domain& domain = domains_[name];
-  domain.call = nullptr;
-  if (result.outcome == CallOutcome::kAnswered &&
-      result.head.status == kStatusOk) {
+void LimitExchange::StartCall(Destination& destination) {
+  if (destination.hosts.empty()) {
     return;
   }
-  ++domain.current;
-  if (result.outcome == CallOutcome::kAnswered &&
-      result.head.status == kStatusConflict) {
-    // The body names the relay of the domain.
-    const auto relay = std::find_if(
-        domain.hosts.begin(), domain.hosts.end(),
-        [&](const HttpPeer& host) { return host.name == result.body; });
-    if (relay != domain.hosts.end()) {
-      domain.current = static_cast<std::size_t>(relay - domain.hosts.begin());
+  destination.current %= destination.hosts.size();
+  destination.sent_at = EventLoop::Now();
+  const HttpPeer& peer = destination.hosts[destination.current];
+  // Destinations live as long as this object, which cancels their calls.
+  destination.call = client_.Send(
+      peer, PostHead(kPath, peer.name, destination.body.size()),
+      destination.body, "", [this, &destination](const CallResult& result) {
+        OnDone(destination, result);
+      });
+}
+
+void LimitExchange::OnDone(Destination& destination, const CallResult& result) {
+  destination.call = nullptr;
+  const bool taken = result.outcome == CallOutcome::kAnswered &&
+                     result.head.status == kStatusOk;
+  if (taken && !result.body.empty()) {
+    on_reply_(result.body);
+  }
+  if (!taken) {
+    ++destination.current;
+    if (FollowRedirect(destination, result)) {
+      StartCall(destination);
+      return;
     }
   }
+  if (!destination.next_body.empty()) {
+    SendBody(destination, std::string(destination.next_body));
+  }
+}
+
+// A host that is not the relay of its domain names the one that is.
+bool LimitExchange::FollowRedirect(Destination& destination,
+                                   const CallResult& result) {
+  if (result.outcome != CallOutcome::kAnswered ||
+      result.head.status != kStatusConflict) {
+    return false;
+  }
+  const auto relay = std::find_if(
+      destination.hosts.begin(), destination.hosts.end(),
+      [&](const HttpPeer& host) { return host.name == result.body; });
+  if (relay == destination.hosts.end()) {
+    return false;
+  }
+  destination.current =
+      static_cast<std::size_t>(relay - destination.hosts.begin());
+  return !std::exchange(destination.redirected, true);
 }
 
 }  // namespace heathergate
--- a/src/libheathergate/metrics_text.cc
+++ b/src/libheathergate/metrics_text.cc
@@ -14,7 +14,7 @@
   std::uint64_t GatewayCounters::*value;
 };
 
-constexpr std::array<Counter, 12> kCounters = {{
+constexpr std::array<Counter, 13> kCounters = {{
     {"heather_requests_total", &GatewayCounters::requests},
     {"heather_delivered_total", &GatewayCounters::delivered},
     {"heather_rejected_total", &GatewayCounters::rejected},
@@ -26,6 +26,7 @@
     {"heather_server_refusals_total", &GatewayCounters::server_refusals},
     {"heather_broken_sends_total", &GatewayCounters::broken_sends},
     {"heather_throttled_total", &GatewayCounters::throttled},
+    {"heather_quarantined_total", &GatewayCounters::quarantined},
     {"heather_limited_sends_total", &GatewayCounters::limited_sends},
 }};
 
@@ -59,6 +60,8 @@
   text << "heather_backend_servers " << gateway.servers().size() << "\n";
   text << "# TYPE heather_limited_servers gauge\n";
   text << "heather_limited_servers " << gateway.limited_servers() << "\n";
+  text << "# TYPE heather_quarantined_requests gauge\n";
+  text << "heather_quarantined_requests " << gateway.quarantined() << "\n";
   text << "# TYPE heather_configuration_version gauge\n";
   text << "heather_configuration_version "
        << (gateway.config() == nullptr ? 0 : gateway.config()->version) << "\n";
--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -11,6 +11,7 @@
 using heatherlever::Duration;
 using heatherlever::Instant;
 using heathersteer::BackendServer;
+using heathersteer::CrashSuspect;
 using heathersteer::LimitReport;
 using heathersteer::LimitSummary;
 using heathersteer::OperatorState;
@@ -128,6 +129,38 @@
   return limits;
 }
 
+// Arrays without names, like limits. An age of -1 stands for no completion.
+json FromSuspects(const std::vector<CrashSuspect>& suspects, Instant now) {
+  json list = json::array();
+  for (const CrashSuspect& suspect : suspects) {
+    json crashes = json::array();
+    for (const auto& crash : suspect.crashes) {
+      crashes.push_back({crash.incarnation, (now - crash.at).count()});
+    }
+    const bool cleared = suspect.cleared_at != Instant(0);
+    list.push_back({suspect.fingerprint,
+                    cleared ? (now - suspect.cleared_at).count() : -1,
+                    std::move(crashes)});
+  }
+  return list;
+}
+
+std::vector<CrashSuspect> ToSuspects(const json& value, Instant now) {
+  std::vector<CrashSuspect> suspects;
+  for (const json& entry : value) {
+    CrashSuspect& suspect = suspects.emplace_back();
+    suspect.fingerprint = entry.at(0).get<std::uint64_t>();
+    const Duration age(entry.at(1).get<std::int64_t>());
+    suspect.cleared_at = age.count() < 0 ? Instant(0) : now - age;
+    for (const json& crash : entry.at(2)) {
+      const Duration crash_age(crash.at(1).get<std::uint64_t>());
+      suspect.crashes.push_back(
+          {crash.at(0).get<std::uint64_t>(), now - crash_age});
+    }
+  }
+  return suspects;
+}
+
 RelayResponse ToResponse(const json& value, Instant now) {
   RelayResponse response;
   response.incarnation = value.at("instance").get<std::string>();
@@ -154,6 +187,11 @@
   if (value.contains("limits")) {
     response.limits = ToLimits(value.at("limits"), now);
   }
+  response.suspects_sequence =
+      value.at("suspects_sequence").get<std::uint64_t>();
+  if (value.contains("suspects")) {
+    response.suspects = ToSuspects(value.at("suspects"), now);
+  }
   return response;
 }
 
@@ -169,6 +207,7 @@
                 {"servers_sequence", response.servers_sequence},
                 {"operator_sequence", response.operator_sequence},
                 {"live_sequence", response.live_sequence},
+                {"suspects_sequence", response.suspects_sequence},
                 {"same_list", response.same_list}};
   if (response.servers) {
     value["servers"] = FromDelta(*response.servers, now);
@@ -182,6 +221,9 @@
   if (response.limits) {
     value["limits"] = FromLimits(*response.limits, now);
   }
+  if (!response.suspects.empty()) {
+    value["suspects"] = FromSuspects(response.suspects, now);
+  }
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -202,10 +244,14 @@
                 {"instance", request.incarnation},
                 {"servers_sequence", request.servers_sequence},
                 {"operator_sequence", request.operator_sequence},
-                {"live_sequence", request.live_sequence}};
+                {"live_sequence", request.live_sequence},
+                {"suspects_sequence", request.suspects_sequence}};
   if (request.limits) {
     value["limits"] = FromLimits(*request.limits, now);
   }
+  if (!request.suspects.empty()) {
+    value["suspects"] = FromSuspects(request.suspects, now);
+  }
   return value.dump();
 }
 
@@ -227,29 +273,58 @@
     if (value.contains("limits")) {
       request.limits = ToLimits(value.at("limits"), now);
     }
+    request.suspects_sequence =
+        value.at("suspects_sequence").get<std::uint64_t>();
+    if (value.contains("suspects")) {
+      request.suspects = ToSuspects(value.at("suspects"), now);
+    }
     return request;
   } catch (const json::exception&) {
     return std::nullopt;  // The calling code responds with 400.
   }
 }
 
-std::string EncodeDomainLimits(const DomainLimits& limits, Instant now) {
-  return json{{"domain", limits.domain},
-              {"limits", FromLimits(limits.limits, now)}}
-      .dump();
+std::string EncodeDomainReport(const DomainReport& report, Instant now) {
+  json value = {{"domain", report.domain},
+                {"suspects", FromSuspects(report.suspects, now)},
+                {"needs_suspects", report.needs_suspects}};
+  if (report.limits) {
+    value["limits"] = FromLimits(*report.limits, now);
+  }
+  return value.dump();
 }
 
-std::optional<DomainLimits> DecodeDomainLimits(const std::string& text,
+std::optional<DomainReport> DecodeDomainReport(const std::string& text,
                                                Instant now) {
   try {
     const json value = json::parse(text);
-    return DomainLimits{value.at("domain").get<std::string>(),
-                        ToLimits(value.at("limits"), now)};
+    DomainReport report;
+    report.domain = value.at("domain").get<std::string>();
+    report.suspects = ToSuspects(value.at("suspects"), now);
+    report.needs_suspects = value.at("needs_suspects").get<bool>();
+    if (value.contains("limits")) {
+      report.limits = ToLimits(value.at("limits"), now);
+    }
+    return report;
   } catch (const json::exception&) {
     return std::nullopt;  // The calling code responds with 400.
   }
 }
 
+std::string EncodeSuspects(const std::vector<CrashSuspect>& suspects,
+                           Instant now) {
+  return FromSuspects(suspects, now).dump();
+}
+
+std::optional<std::vector<CrashSuspect>> DecodeSuspects(const std::string& text,
+                                                        Instant now) {
+  try {
+    return ToSuspects(json::parse(text), now);
+  } catch (const json::exception&) {
+    return std::nullopt;  // The calling code logs the sender's name.
+  }
+}
+
 std::string EncodeQuery(const UpdateQuery& query) {
   return json{{"list_age_us", query.list_age.count()},
               {"list_digest", query.list_digest},
--- a/src/libheathergate/relay_codec.h
+++ b/src/libheathergate/relay_codec.h
@@ -8,6 +8,7 @@
 
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
+#include "heathersteer/crash_suspect.h"
 #include "heathersteer/limit_summary.h"
 #include "heathersteer/operator_state.h"
 #include "heathersteer/server_delta.h"
@@ -26,14 +27,22 @@
   std::uint64_t servers_sequence = 0;
   std::uint64_t operator_sequence = 0;
   std::uint64_t live_sequence = 0;
+  std::uint64_t suspects_sequence = 0;
   /// The sender's observations of limits and its demand.
   std::optional<heathersteer::LimitSummary> limits;
+  /// Requests that the sender lately came to suspect of crashing servers.
+  std::vector<heathersteer::CrashSuspect> suspects;
 };
 
-/// Summary of a domain, sent from its relay to the relays of other domains.
-struct DomainLimits {
+/// What a domain knows, sent from its relay to the relays of other domains and
+/// from a host to the relay of its domain.
+struct DomainReport {
   std::string domain;
-  heathersteer::LimitSummary limits;
+  /// Absent in a host's report to its relay.
+  std::optional<heathersteer::LimitSummary> limits;
+  std::vector<heathersteer::CrashSuspect> suspects;
+  /// Whether the sender needs all suspects that the receiver knows of.
+  bool needs_suspects = false;
 };
 
 /// Query of a host with stale state to any other host.
@@ -70,6 +79,9 @@
   /// Limits known to the sender and the demand of all hosts known to it; absent
   /// without any limit.
   std::optional<heathersteer::LimitSummary> limits;
+  std::uint64_t suspects_sequence = 0;
+  /// Suspects that changed since the receiver's sequence number.
+  std::vector<heathersteer::CrashSuspect> suspects;
 };
 
 /// Encodes the times of servers relative to `now`.
@@ -86,12 +98,21 @@
 std::optional<RelayRequest> DecodeRequest(const std::string& text,
                                           heatherlever::Instant now);
 
-std::string EncodeDomainLimits(const DomainLimits& limits,
+std::string EncodeDomainReport(const DomainReport& report,
                                heatherlever::Instant now);
 
-std::optional<DomainLimits> DecodeDomainLimits(const std::string& text,
+std::optional<DomainReport> DecodeDomainReport(const std::string& text,
                                                heatherlever::Instant now);
 
+/// A response with suspects only, to DomainReport::needs_suspects.
+std::string EncodeSuspects(
+    const std::vector<heathersteer::CrashSuspect>& suspects,
+    heatherlever::Instant now);
+
+std::optional<std::vector<heathersteer::CrashSuspect>> DecodeSuspects(
+    const std::string& text,
+    heatherlever::Instant now);
+
 std::string EncodeQuery(const UpdateQuery& query);
 
 std::optional<UpdateQuery> DecodeQuery(const std::string& text);
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -57,6 +57,29 @@
   EXPECT_EQ(decoded->limits->reports.back().observed_at, seconds(0));
 }
 
+TEST(RelayCodecTest, SuspectsRoundTripKeepsAges) {
+  DomainReport report;
+  report.domain = "north-a";
+  report.suspects = {{.fingerprint = UINT64_MAX,
+                      .crashes = {{7, seconds(6)}, {8, seconds(9)}},
+                      .cleared_at = seconds(5)},
+                     {.fingerprint = 2, .crashes = {}, .cleared_at = {}}};
+  report.needs_suspects = true;
+  const auto decoded =
+      DecodeDomainReport(EncodeDomainReport(report, seconds(10)), seconds(500));
+  ASSERT_TRUE(decoded);
+  EXPECT_FALSE(decoded->limits);
+  EXPECT_TRUE(decoded->needs_suspects);
+  ASSERT_EQ(decoded->suspects.size(), 2U);
+  const heathersteer::CrashSuspect& suspect = decoded->suspects.front();
+  EXPECT_EQ(suspect.fingerprint, UINT64_MAX);
+  EXPECT_EQ(suspect.cleared_at, seconds(495));
+  ASSERT_EQ(suspect.crashes.size(), 2U);
+  EXPECT_EQ(suspect.crashes.back().incarnation, 8U);
+  EXPECT_EQ(suspect.crashes.back().at, seconds(499));
+  EXPECT_EQ(decoded->suspects.back().cleared_at, seconds(0));
+}
+
 TEST(RelayCodecTest, PartsWithoutUpdateStayAbsent) {
   const auto decoded =
       DecodeResponse(EncodeResponse(RelayResponse{}, seconds(1)), seconds(1));
@@ -81,7 +104,7 @@
   EXPECT_FALSE(DecodeResponse("{\"instance\":1}", seconds(1)));
   EXPECT_FALSE(DecodeResponse("{", seconds(1)));
   EXPECT_FALSE(DecodeRequest("[]", heatherlever::Instant(0)));
-  EXPECT_FALSE(DecodeDomainLimits("{\"domain\":\"a\"}", seconds(1)));
+  EXPECT_FALSE(DecodeDomainReport("{\"domain\":\"a\"}", seconds(1)));
   EXPECT_FALSE(DecodeQuery("{\"list_age_us\":\"1\"}"));
 }
 
