Let a host with a newer list than its relay wait for the relay's

Callers' requests were slowed on hosts that spent 0.4 of a core on asking each other for updates: a follower whose list of servers was newer than its relay's, as the store refused the relay, asked for the full list without pause, and the relay encoded it each time.

Cause: a list that was ignored as older made the follower ask for the full list at once, and the relay answers such a request at once. Found by reading, while looking for what hosts keep across a restore, which makes such pairs likely.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -88,6 +88,9 @@
   /// Whether this host accepts requests; the other hosts list it if so.
   void set_ready(bool ready);
 
+  /// Number of requests for updates that were sent to followed hosts.
+  std::uint64_t relay_requests() const { return relay_requests_; }
+
   /// Caller endpoints of this domain's hosts that accept requests, this host's
   /// first if it is one of them.
   std::vector<std::string> CallerEndpoints() const;
@@ -183,9 +186,14 @@
   std::uint64_t followed_operator_sequence_ = 0;
   std::uint64_t followed_live_sequence_ = 0;
   std::uint64_t followed_suspects_sequence_ = 0;
+  // Whether this host's list of servers is not the followed host's at
+  // followed_servers_sequence_, so that deltas of it don't apply. The full list
+  // is requested once it is newer than this host's.
+  bool list_diverged_ = true;
   std::vector<std::string> followed_endpoints_;
   // Empty while this host reads the store for its domain.
   std::string followed_host_;
+  std::uint64_t relay_requests_ = 0;
   heatherlever::Instant started_at_{0};
   int host_count_ = 1;
   // Newest timeline of the store that this host knows of.
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -321,6 +321,7 @@
 
 void FleetAgent::SendRelayRequest(const HostRegistration& host) {
   CancelRelayRequest();
+  ++relay_requests_;
   const bool same = !followed_incarnation_.empty();
   const RelayRequest request{
       .name = relay_order_.self().name,
@@ -379,17 +380,25 @@
 }
 
 void FleetAgent::ApplyServers(const RelayResponse& response, Instant known_at) {
-  if (!response.servers) {
+  const bool newer = response.timeline >= servers_.timeline() &&
+                     known_at >= servers_.known_at();
+  if (response.servers) {
+    followed_servers_sequence_ = response.servers_sequence;
+    const bool usable = response.servers->full || !list_diverged_;
+    if (usable &&
+        servers_.Apply(*response.servers, response.timeline, known_at)) {
+      OnServersChanged();
+      list_diverged_ = false;
+      return;
+    }
+    list_diverged_ = true;
+  } else if (!list_diverged_) {
     servers_.Confirm(known_at);
     return;
   }
-  if (!servers_.Apply(*response.servers, response.timeline, known_at)) {
-    // Older than this host's list: the full list is needed once it is newer.
+  if (newer) {
     followed_servers_sequence_ = 0;
-    return;
   }
-  OnServersChanged();
-  followed_servers_sequence_ = response.servers_sequence;
 }
 
 void FleetAgent::ApplyResponse(const RelayResponse& response) {
@@ -460,8 +469,7 @@
 
 void FleetAgent::OnServersChanged() {
   changes_.Update(servers_.servers());
-  // Deltas of the followed host no longer apply to this list.
-  followed_servers_sequence_ = 0;
+  list_diverged_ = true;
   RespondWithUpdates();
   listener_.on_servers(servers_.servers());
 }
--- a/testsuite/gateway/configuration_test.py
+++ b/testsuite/gateway/configuration_test.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import tempfile
+import time
 import unittest
 
 from gateway_harness import PROGRAM, GatewayTestCase, config, route
@@ -54,6 +55,27 @@
         self.store.put("op", "config", config(2, moved=route(prefix="/y/")))
         host.await_log("configuration 2 in force")
 
+    def test_host_whose_list_is_newer_than_that_of_its_relay_does_not_poll_it_without_pause(self):
+        port = self.store.open_port()
+        relay = self.started_host("h1", store_port=port)
+        follower = self.started_host("h2")
+        follower.await_log("news come from h1")
+        self.backend("i-1")
+        follower.await_log("backend server i-1 ")
+        self.store.refuse(port)
+        relay.await_log("backend servers not read")
+        # The follower reads the store itself once its state is stale.
+        self.backend("i-2")
+        follower.await_log("backend server i-2 ")
+        before = follower.metric("heather_relay_requests_total")
+        time.sleep(3)
+        # A long poll waits for about a second; a few end early by updates.
+        self.assertLess(follower.metric("heather_relay_requests_total") - before, 12)
+        self.store.refuse(port, False)
+        self.backend("i-3")
+        for host in (relay, follower):
+            host.await_log("backend server i-3 ")
+
     def test_hosts_that_the_store_refuses_get_updates_from_one_that_it_serves(self):
         self.backend("i-1")
         port = self.store.open_port()
--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -131,6 +131,10 @@
         connection.close()
         return result
 
+    def metric(self, name):
+        text = self.get(self.metrics_port, "/metrics")[1].decode()
+        return float(next(line.split()[1] for line in text.splitlines() if line.startswith(name + " ")))
+
     def stop(self):
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
