Restore the store and crash servers in the fault soak

Callers depend on both fixes holding while hosts are killed, frozen, cut off and restarted; the soak played neither fault.

It checks that no more than three servers end later than 3 s after the third. Seeds without the option play as before.

One seed is in the test run.

--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -198,6 +198,9 @@
         """Stops accepting, and ends all connections without a response."""
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
+        self.end_connections()
+
+    def end_connections(self):
         for connection in list(self.connections):
             try:
                 connection.shutdown(socket.SHUT_RDWR)
@@ -214,6 +217,12 @@
 
     def serve(self, connection):
         self.connections.add(connection)
+        try:
+            self.serve_requests(connection)
+        finally:
+            self.connections.discard(connection)
+
+    def serve_requests(self, connection):
         with connection, connection.makefile("rb") as stream:
             while True:
                 request = read_message(stream)
--- a/testsuite/soak/actors.py
+++ b/testsuite/soak/actors.py
@@ -67,6 +67,9 @@
         self.limit_per_s = limit_per_s
         self.limit_field = f"Server-Limit: {limit_per_s}\r\n" if limit_per_s else ""
         self.arrivals = []
+        self.started = 1
+        self.down_until = 0
+        self.on_fatal = None
         super().__init__(name)
 
     def shed(self, request, connection):
@@ -114,6 +117,12 @@
         super().serve(connection)
 
     def behave_now(self, request, connection):
+        if time.monotonic() < self.down_until:
+            return None
+        if self.on_fatal and Crashes.PATH in request[0]:
+            self.run(request)
+            self.on_fatal(self)
+            return None
         with self.condition:
             self.arrivals.append(time.monotonic())
         if self.mode == "shed":
@@ -121,6 +130,54 @@
         return getattr(self, "behave_" + self.mode)(request, connection)
 
 
+class Crashes:
+    """A caller whose request crashes each backend server that runs it. The server is back after `DOWN_S`, as a new
+    incarnation whose next report shows it."""
+
+    PATH = "/x/fatal"
+    DOWN_S = 1
+    PAUSE_S = 0.2
+    # Servers that may crash before hosts can know the request, and by those that do not know it yet.
+    MAX_CRASHES = 3 + 3
+    # Time within which all hosts know the request once three servers have crashed.
+    CONTACT_S = 3
+
+    def __init__(self, backends):
+        self.backends = backends
+        self.times = []
+        self.ids = []
+        self.stopping = threading.Event()
+        self.thread = None
+        for backend in backends:
+            backend.on_fatal = self.on_fatal
+
+    def on_fatal(self, backend):
+        self.times.append(time.monotonic())
+        backend.down_until = time.monotonic() + self.DOWN_S
+        backend.started += 1
+        backend.end_connections()
+
+    def start(self, hosts, seed):
+        self.thread = threading.Thread(target=self.run, args=(hosts, f"fatal-{seed}"))
+        self.thread.start()
+
+    def stop(self):
+        self.stopping.set()
+        self.thread.join()
+
+    def run(self, hosts, name):
+        generator = random.Random(name)
+        while not self.stopping.wait(self.PAUSE_S):
+            self.ids.append(f"{name}-{len(self.ids)}")
+            send(generator.choice(hosts), "GET", self.PATH, b"", self.ids[-1], "fatal")
+
+    def find_violations(self):
+        late = [at for at in self.times if len(self.times) >= 3 and at > self.times[2] + self.CONTACT_S]
+        if len(late) > self.MAX_CRASHES - 3:
+            return [f"{len(late)} of {len(self.times)} servers crashed later than {self.CONTACT_S} s after the third"]
+        return []
+
+
 class Callers:
     """Threads that send requests to random hosts and retry those that callers may retry."""
 
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -9,12 +9,14 @@
 import tempfile
 import time
 
-from actors import Callers, SoakBackend, SoakStore, find_exceeded_limits, find_violations, send
+from actors import Callers, Crashes, SoakBackend, SoakStore, find_exceeded_limits, find_violations, send
 from gateway_harness import Host, config, route
 from links import LinkSet
 
 DOMAINS = ("d-a", "d-a", "d-b", "e-a")
 BACKENDS = 4
+# With requests that crash servers, enough for others to be served beside them.
+CRASH_BACKENDS = 12
 # Number of backend servers that state a limit in a run with limits.
 LIMITED_BACKENDS = 2
 # Time for hosts to serve again once every fault is over; far more than they need, as it only ends a run that hangs.
@@ -33,9 +35,11 @@
 
 
 class Soak:
-    """One run. After it `findings` holds a line for each violated invariant."""
+    """One run. After it `findings` holds a line for each violated invariant. With `crashes` the store is also restored
+    from older copies, and a request comes again and again that crashes each backend server that runs it."""
 
-    def __init__(self, seed, limit_per_s=0):
+    def __init__(self, seed, limit_per_s=0, crashes=False):
+        self.fault_table = {**FAULTS, **CRASH_FAULTS} if crashes else FAULTS
         self.seed = seed
         self.random = random.Random(seed)
         self.links = LinkSet()
@@ -43,10 +47,12 @@
         self.version = 1
         self.store.put("op", "config", soak_config(1))
         self.backends = [SoakBackend(f"i-{n}", f"{seed}-{n}", limit_per_s if n < LIMITED_BACKENDS else 0)
-                         for n in range(BACKENDS)]
+                         for n in range(CRASH_BACKENDS if crashes else BACKENDS)]
         self.backend_links = [self.links.link(backend.port) for backend in self.backends]
-        for n in range(BACKENDS):
+        self.sequence = 0
+        for n in range(len(self.backends)):
             self.register(n)
+        self.crashes = Crashes(self.backends) if crashes else None
         self.store_links = [self.links.link(self.store.port) for _ in DOMAINS]
         self.hosts = [Host(f"h{n}", self.store_links[n].port, domain=domain) for n, domain in enumerate(DOMAINS)]
         self.faults = []
@@ -54,7 +60,9 @@
         self.findings = []
 
     def register(self, n, state="ready"):
-        row = self.backends[n].row(domain=DOMAINS[n], state=state)
+        self.sequence += 1
+        row = self.backends[n].row(domain=DOMAINS[n % len(DOMAINS)], state=state, sequence=self.sequence)
+        row["born"] = self.backends[n].started
         row["address"] = f"127.0.0.1:{self.backend_links[n].port}"
         self.store.put("servers", f"i-{n}", row)
 
@@ -63,13 +71,20 @@
             host.await_log("in force")
         callers = Callers(self.hosts, self.seed)
         callers.start()
+        if self.crashes:
+            self.crashes.start(self.hosts, self.seed)
         try:
             self.inject_faults(seconds)
         finally:
+            if self.crashes:
+                self.crashes.stop()
             callers.stop()
         self.findings += find_exceeded_limits(self.backends)
         self.findings += self.check_recovery()
         self.findings += self.check_drain()
+        if self.crashes:
+            self.findings += self.crashes.find_violations()
+            self.check_ids += self.crashes.ids
         self.findings += find_violations(callers.attempts, self.backends, self.check_ids)
         self.succeeded = sum(attempt[4] == 200 for attempt in callers.attempts)
         self.attempted = len(callers.attempts)
@@ -81,8 +96,8 @@
         end = time.monotonic() + seconds
         active = []
         while time.monotonic() < end:
-            name = self.random.choice(sorted(FAULTS))
-            heal = FAULTS[name](self)
+            name = self.random.choice(sorted(self.fault_table))
+            heal = self.fault_table[name](self)
             self.faults.append(name)
             if heal:
                 active.append((time.monotonic() + self.random.uniform(*FAULT_S), heal))
@@ -324,14 +339,31 @@
 }
 
 
-def run_seed(seed, seconds, limit_per_s):
+def store_restored(soak):
+    """The store returns to a copy; the operator and the servers write again what it has lost, a moment later."""
+    copy = soak.store.copy()
+
+    def restore():
+        soak.store.restore(copy)
+        time.sleep(soak.random.uniform(0, 0.5))
+        soak.store.put("op", "config", soak_config(soak.version))
+        for n in range(len(soak.backends)):
+            soak.register(n)
+    return restore
+
+
+CRASH_FAULTS = {"store_restored": store_restored}
+
+
+def run_seed(seed, seconds, limit_per_s, crashes):
     """Runs one seed and prints the result; returns whether every invariant held."""
-    soak = Soak(seed, limit_per_s)
+    soak = Soak(seed, limit_per_s, crashes)
     try:
         soak.run(seconds)
         verdict = "kept" if not soak.findings else "BROKEN"
         print(f"seed {seed}: {verdict}; {soak.succeeded} of {soak.attempted} attempts answered, "
-              f"{len(soak.faults)} faults", flush=True)
+              f"{len(soak.faults)} faults" +
+              (f", {len(soak.crashes.times)} servers crashed" if soak.crashes else ""), flush=True)
         for finding in soak.findings:
             print("  " + finding)
         if soak.findings:
@@ -348,9 +380,11 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds, one after the other")
     parser.add_argument("--seconds", type=float, default=10, help="how long faults are injected in each run")
     parser.add_argument("--limit", type=float, default=0, help="requests/s that two backend servers accept; 0: no limit")
+    parser.add_argument("--crashes", action="store_true",
+                        help="restore the store from copies, and send a request that crashes servers")
     arguments = parser.parse_args()
     broken = [seed for seed in range(arguments.first, arguments.first + arguments.seeds)
-              if not run_seed(seed, arguments.seconds, arguments.limit)]
+              if not run_seed(seed, arguments.seconds, arguments.limit, arguments.crashes)]
     print(f"{arguments.seeds - len(broken)} passed, {len(broken)} failed")
     sys.exit(1 if broken else 0)
 
--- a/testsuite/soak/soak_test.py
+++ b/testsuite/soak/soak_test.py
@@ -8,8 +8,8 @@
 
 
 class SoakTest(unittest.TestCase):
-    def run_seed(self, seed, seconds=SECONDS, limit_per_s=0):
-        soak = Soak(seed, limit_per_s)
+    def run_seed(self, seed, seconds=SECONDS, limit_per_s=0, crashes=False):
+        soak = Soak(seed, limit_per_s, crashes)
         try:
             soak.run(seconds)
             self.assertEqual([], soak.findings, f"logs: {soak.logs() if soak.findings else 'not kept'}")
@@ -36,6 +36,10 @@
     def test_limits_are_kept_in_seed_1(self):
         self.run_seed(1, seconds=12, limit_per_s=8)
 
+    # The store is restored from copies, and a request crashes servers, while hosts are killed, frozen and cut off.
+    def test_crashing_request_and_restored_store_in_seed_1(self):
+        self.run_seed(1, seconds=10, crashes=True)
+
 
 if __name__ == "__main__":
     unittest.main()
