--- a/src/heather-bench-limits/main.cc
+++ b/src/heather-bench-limits/main.cc
@@ -1,7 +1,9 @@
 // Measures what it costs to share the rate limits of backend servers, by the
-// number of hosts that follow a relay and of servers with a limit.
+// number of hosts that follow a relay and of servers with a limit, and the
+// requests that are suspected of crashing servers.
 
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <exception>
@@ -9,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "heathersteer/crash_suspect_table.h"
 #include "heathersteer/limit_pool.h"
 #include "heathersteer/limit_summary.h"
 #include "libheathergate/relay_codec.h"
@@ -25,6 +28,7 @@
 constexpr int kRounds = 200;
 constexpr int kFollowers[] = {3, 19, 44};
 constexpr int kServers[] = {10, 100, 1000};
+constexpr int kSuspects[] = {1, 16, 64};
 
 LimitSummary MakeSummary(int servers) {
   LimitSummary summary{.hosts = 1, .reports = {}};
@@ -77,13 +81,51 @@
       100 * relay_us * kExchangesPerS / kMicrosecondsPerS);
 }
 
+// A message with suspects: its encoding, its decoding, and adding it to a full
+// table that knows none of them.
+void MeasureSuspects(int count) {
+  heathersteer::CrashSuspectTable sender;
+  heathersteer::CrashSuspectTable receiver;
+  std::uint64_t next = UINT64_MAX / 2;
+  for (int i = 0; i < 2000; ++i) {
+    ++next;
+    receiver.RecordCrash(next, next, kNow);
+  }
+  for (int i = 0; i < count; ++i) {
+    ++next;
+    for (std::uint64_t crash = 0; crash < 3; ++crash) {
+      sender.RecordCrash(next, next * 7 + crash, kNow);
+    }
+  }
+  heathergate::DomainReport without;
+  without.domain = "north-a";
+  heathergate::DomainReport with = without;
+  with.suspects = sender.Since(0);
+  const std::string text = EncodeDomainReport(with, kNow);
+  const std::size_t bytes =
+      text.size() - EncodeDomainReport(without, kNow).size();
+  const double encode_us =
+      MicrosecondsPerCall([&] { EncodeDomainReport(with, kNow); });
+  const double decode_us =
+      MicrosecondsPerCall([&] { heathergate::DecodeDomainReport(text, kNow); });
+  const double merge_us = MicrosecondsPerCall([&] {
+    heathersteer::CrashSuspectTable table = receiver;
+    table.Merge(with.suspects, kNow);
+  });
+  std::printf("%8d %13.1f %9.1f %9.1f %9.1f\n", count,
+              static_cast<double>(bytes) / count, encode_us, decode_us,
+              merge_us);
+}
+
 int Run(int argc, char** argv) {
   cxxopts::Options options(
       "heather-bench-limits",
       "Prints bytes and processor time of sharing rate limits: followers of a "
       "relay, servers with a limit, bytes a server and message, KB/s at a "
       "follower and at the relay, and percent of a core at both. Messages "
-      "between domains are left out.\n");
+      "between domains are left out. Then of sharing suspected requests: "
+      "suspects in a message, bytes a suspect, and microseconds to encode, to "
+      "decode, and to copy a full table and add them.\n");
   options.add_options()("help", "print this text");
   if (options.parse(argc, argv).count("help") != 0) {
     std::fputs(options.help().c_str(), stdout);
@@ -96,6 +138,10 @@
       Measure(followers, servers);
     }
   }
+  std::puts("suspects bytes/suspect encode us decode us  merge us");
+  for (const int suspects : kSuspects) {
+    MeasureSuspects(suspects);
+  }
   return 0;
 }
 
