Let the soak wait until hosts see a server that it drained before

The hosts' logs show a fault of the soak, not of the product: a fault had drained the same server 3.6 s before, so the soak took that line for the new one while three hosts still listed the server as ready.

The check now waits for "ready" at every host before it drains the server; what it asserts is unchanged.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -130,6 +130,9 @@
 
     def check_drain(self):
         """Checks that a server gets no request once every host knows that it is draining."""
+        # A fault may have drained it before: hosts must have seen that it is back.
+        for host in self.hosts:
+            self.await_line(host, "backend server i-0 ", "ready")
         self.register(0, "draining")
         for host in self.hosts:
             self.await_line(host, "backend server i-0 ", "draining")
