--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -275,7 +275,7 @@
   const heathersteer::BackendServer& server = server_->server;
   const Instant now = EventLoop::Now();
   heathersteer::CrashSuspectTable& suspects = gateway_.crash_suspects_;
-  const bool sent_before =
+  const bool was_quarantined =
       suspects.QuarantineLeft(Fingerprint(), now) > Duration(0);
   const bool news =
       suspects.RecordCrash(Fingerprint(),
@@ -285,7 +285,7 @@
   if (!news) {
     return;
   }
-  if (!sent_before &&
+  if (!was_quarantined &&
       suspects.QuarantineLeft(Fingerprint(), now) > Duration(0)) {
     spdlog::warn(
         "request id={} fingerprint={:016x} quarantined: servers ended under it",
--- a/src/libheathersteer/crash_suspect_table.cc
+++ b/src/libheathersteer/crash_suspect_table.cc
@@ -96,6 +96,9 @@
 
 bool CrashSuspectTable::Merge(const std::vector<CrashSuspect>& suspects,
                               Instant now) {
+  if (suspects.empty()) {
+    return false;
+  }
   bool news = false;
   for (const CrashSuspect& suspect : suspects) {
     Entry& entry = entries_[suspect.fingerprint];
