--- a/src/libheathergate/request_fingerprint_test.cc
+++ b/src/libheathergate/request_fingerprint_test.cc
@@ -20,9 +20,9 @@
                  {names.affinity_key, key},
                  {names.request_id, id},
                  {names.time_left, id}};
-  return RequestFingerprint(
-      HttpExchange(head, body, heatherlever::Instant(0), [](HttpResponse) {}),
-      names);
+  return RequestFingerprint(HttpExchange(head, body, heatherlever::Instant(0),
+                                         [](const HttpResponse&) {}),
+                            names);
 }
 
 TEST(RequestFingerprintTest, AttemptsOfTheSameRequestAreEqual) {
