Don't pass on suspects that a full table drops at once

Callers of all services are slowed while many servers end together: a host whose table of suspects is full counted each suspect that it dropped at once as news, and passed it on to its followers and to all domains, again with each repetition for three seconds.

Cause: Merge() reported a change before Trim() dropped the entry. Found by reading, while looking for what mass failures cost the exchange.

Change: only what is still in the table after the trim is a change.

Evidence: SuspectsThatAreDroppedAtOnceAreNoNews fails before and passes.

--- a/src/libheathersteer/crash_suspect_table.cc
+++ b/src/libheathersteer/crash_suspect_table.cc
@@ -99,26 +99,31 @@
   if (suspects.empty()) {
     return false;
   }
-  bool news = false;
+  std::vector<std::uint64_t> changed;
   for (const CrashSuspect& suspect : suspects) {
     Entry& entry = entries_[suspect.fingerprint];
     entry.suspect.fingerprint = suspect.fingerprint;
-    bool changed = Clear(entry, suspect.cleared_at);
+    bool differs = Clear(entry, suspect.cleared_at);
     const bool was_culprit = IsCulprit(entry.suspect);
     for (const ServerCrash& crash : suspect.crashes) {
-      changed |= AddCrash(entry, {crash.incarnation, std::min(crash.at, now)});
+      differs |= AddCrash(entry, {crash.incarnation, std::min(crash.at, now)});
     }
-    if (!changed) {
+    if (!differs) {
       continue;
     }
-    news = true;
-    MarkChanged(entry, now);
+    changed.push_back(suspect.fingerprint);
     if (!was_culprit && IsCulprit(entry.suspect)) {
       DropExplained(entry.suspect);
     }
   }
   Trim(now);
-  return news;
+  std::erase_if(changed, [&](std::uint64_t fingerprint) {
+    return !entries_.contains(fingerprint);
+  });
+  for (const std::uint64_t fingerprint : changed) {
+    MarkChanged(entries_[fingerprint], now);
+  }
+  return !changed.empty();
 }
 
 bool CrashSuspectTable::AddCrash(Entry& entry, const ServerCrash& crash) {
--- a/src/libheathersteer/crash_suspect_table_test.cc
+++ b/src/libheathersteer/crash_suspect_table_test.cc
@@ -122,6 +122,18 @@
   EXPECT_EQ(table_.QuarantinedCount(kStart + minutes(1)), 1U);
 }
 
+TEST_F(CrashSuspectTableTest, SuspectsThatAreDroppedAtOnceAreNoNews) {
+  CrashSuspectTable other;
+  other.RecordCrash(kOther, 1, now_);
+  now_ += seconds(1);
+  for (std::uint64_t i = 0; i < 1024; ++i) {
+    table_.RecordCrash(1000 + i, 10000 + i, now_);
+  }
+  const std::uint64_t before = table_.sequence();
+  EXPECT_FALSE(table_.Merge(other.Since(0), now_));
+  EXPECT_EQ(table_.sequence(), before);
+}
+
 TEST_F(CrashSuspectTableTest, ChangesAreRepeatedForSomeSeconds) {
   Crash(kCulprit, 1, 1);
   EXPECT_EQ(table_.Recent(now_ + seconds(3)).size(), 1U);
