Bound the messages on crash suspects while many servers end

Callers at all hosts are slowed while many servers end at once: hosts spend their processor time on telling each other which requests were running.

Cause: each new suspect was a message: a relay ended the long polls of all its followers for each report from another domain, and each follower sent back for three seconds what it had just been sent; relays did the same to each other.

Change: a host sends at most a message each 150 ms while news keeps coming; after a pause four may follow each other at once, so that the first ends of servers still spread without delay (BurstLimiter). A host repeats only what it and its followers observed.

Evidence: with 50 reports a second from another domain for 3 s a follower sent 153 relay requests; the new test, which allows 30, failed before and passes.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -14,6 +14,7 @@
 #include "heathergate/http_client.h"
 #include "heathergate/http_server.h"
 #include "heathergate/timer.h"
+#include "heathersteer/burst_limiter.h"
 #include "heathersteer/crash_suspect_table.h"
 #include "heathersteer/host_table.h"
 #include "heathersteer/limit_pool.h"
@@ -135,7 +136,9 @@
       const std::string& domain);
   void LogQuarantined();
   void OnSuspectsReply(const std::string& body);
+  void ScheduleSuspects();
   void SendCrashSuspects();
+  void ReportCrashSuspects(heatherlever::Instant now);
   void SendDomainReport(heatherlever::Instant now);
   void ApplyLimits(heathersteer::LimitSummary limits);
   void ExchangeLimits();
@@ -168,7 +171,13 @@
   heathersteer::LimitSummary all_limits_;
   heatherlever::Instant all_limits_at_{0};
   heatherlever::Instant limits_exchanged_at_{0};
-  bool suspects_due_ = false;
+  heathersteer::BurstLimiter suspects_limiter_;
+  // Whether the timer runs, and whether other hosts than followers are to get
+  // a report when it ends.
+  bool suspects_scheduled_ = false;
+  bool suspects_report_due_ = false;
+  // Sequence number up to which followers have been notified of suspects.
+  std::uint64_t notified_suspects_ = 0;
   std::size_t logged_quarantined_ = 0;
   // Whether suspects from before this host's start are still to be asked for.
   bool needs_suspects_ = true;
--- a/src/include/heathersteer/crash_suspect_table.h
+++ b/src/include/heathersteer/crash_suspect_table.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,11 @@
   bool Merge(const std::vector<CrashSuspect>& suspects,
              heatherlever::Instant now);
 
+  /// The same for a host that follows this one, for which this host reports
+  /// them to others.
+  bool MergeFromFollower(const std::vector<CrashSuspect>& suspects,
+                         heatherlever::Instant now);
+
   /// Time for which the request must not be sent; 0 if it may be sent now.
   heatherlever::Duration QuarantineLeft(std::uint64_t fingerprint,
                                         heatherlever::Instant now) const;
@@ -48,7 +54,8 @@
   /// and the newest first; a bounded number.
   std::vector<CrashSuspect> Since(std::uint64_t sequence) const;
 
-  /// The suspects that changed within the last seconds, like Since().
+  /// The suspects that this host or its followers observed within the last
+  /// seconds, like Since().
   std::vector<CrashSuspect> Recent(heatherlever::Instant now) const;
 
   bool empty() const { return entries_.empty(); }
@@ -64,15 +71,18 @@
   struct Entry {
     CrashSuspect suspect;
     std::uint64_t changed_in = 0;
-    heatherlever::Instant changed_at{0};
+    // Time of the last change to report to other hosts.
+    std::optional<heatherlever::Instant> observed_at;
     heatherlever::Instant trial_until{0};
   };
 
   using Entries = std::map<std::uint64_t, Entry>;
 
+  // Returns the fingerprints of the entries that changed.
+  std::vector<std::uint64_t> Add(const std::vector<CrashSuspect>& suspects,
+                                 heatherlever::Instant now);
   bool AddCrash(Entry& entry, const ServerCrash& crash);
   bool Clear(Entry& entry, heatherlever::Instant at);
-  void MarkChanged(Entry& entry, heatherlever::Instant now);
   bool IsExplained(std::uint64_t incarnation, std::uint64_t except) const;
   void DropExplained(const CrashSuspect& culprit);
   void Trim(heatherlever::Instant now);
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -47,6 +47,11 @@
 // Delay before newly suspected requests are sent, so that those of one crash go
 // together.
 constexpr Duration kSuspectsDelay = std::chrono::milliseconds(15);
+// Interval between messages on suspects while new ones keep coming, and number
+// of messages that may follow each other sooner. Many servers may end at once,
+// and a relay notifies every host of its domain.
+constexpr Duration kSuspectsInterval = std::chrono::milliseconds(150);
+constexpr int kSuspectsBurst = 4;
 // Age from which on limits are not passed on.
 constexpr Duration kMaxLimitsAge = std::chrono::seconds(1);
 
@@ -110,6 +115,7 @@
       response_timer_(loop),
       tick_timer_(loop),
       suspects_timer_(loop),
+      suspects_limiter_(kSuspectsInterval, kSuspectsBurst),
       incarnation_(RandomIncarnation()) {}
 
 FleetAgent::~FleetAgent() = default;
@@ -411,6 +417,7 @@
   needs_suspects_ = false;
   if (listener_.crash_suspects().Merge(response.suspects, EventLoop::Now())) {
     LogQuarantined();
+    ScheduleSuspects();
   }
   if (response.operator_state) {
     OnOperatorState(*response.operator_state);
@@ -561,7 +568,7 @@
          request.servers_sequence != changes_.sequence() ||
          request.operator_sequence != operator_sequence_ ||
          request.live_sequence != live_sequence_ ||
-         request.suspects_sequence != listener_.crash_suspects().sequence();
+         request.suspects_sequence < notified_suspects_;
 }
 
 void FleetAgent::RespondWithUpdates() {
@@ -656,7 +663,9 @@
     return;
   }
   needs_suspects_ = false;
-  listener_.crash_suspects().Merge(*suspects, now);
+  if (listener_.crash_suspects().Merge(*suspects, now)) {
+    ScheduleSuspects();
+  }
 }
 
 void FleetAgent::ApplyLimits(heathersteer::LimitSummary limits) {
@@ -702,15 +711,28 @@
 }
 
 void FleetAgent::ShareCrashSuspects() {
-  if (!std::exchange(suspects_due_, true)) {
-    suspects_timer_.Start(kSuspectsDelay, [this] { SendCrashSuspects(); });
+  suspects_report_due_ = true;
+  ScheduleSuspects();
+}
+
+void FleetAgent::ScheduleSuspects() {
+  if (!std::exchange(suspects_scheduled_, true)) {
+    suspects_timer_.Start(
+        std::max(kSuspectsDelay, suspects_limiter_.Reserve(EventLoop::Now())),
+        [this] { SendCrashSuspects(); });
   }
 }
 
 void FleetAgent::SendCrashSuspects() {
-  suspects_due_ = false;
-  const Instant now = EventLoop::Now();
+  suspects_scheduled_ = false;
+  notified_suspects_ = listener_.crash_suspects().sequence();
   RespondWithUpdates();
+  if (std::exchange(suspects_report_due_, false)) {
+    ReportCrashSuspects(EventLoop::Now());
+  }
+}
+
+void FleetAgent::ReportCrashSuspects(Instant now) {
   if (followed_host_.empty()) {
     SendDomainReport(now);
   } else if (const auto relay = relay_order_.Choose(now)) {
@@ -727,15 +749,20 @@
 void FleetAgent::MergeCrashSuspects(
     const std::vector<heathersteer::CrashSuspect>& suspects,
     const std::string& domain) {
-  if (!listener_.crash_suspects().Merge(suspects, EventLoop::Now())) {
+  const Instant now = EventLoop::Now();
+  heathersteer::CrashSuspectTable& table = listener_.crash_suspects();
+  const bool from_follower = domain == relay_order_.self().domain;
+  const bool changed = from_follower ? table.MergeFromFollower(suspects, now)
+                                     : table.Merge(suspects, now);
+  if (!changed) {
     return;
   }
   LogQuarantined();
-  if (domain == relay_order_.self().domain && followed_host_.empty()) {
+  if (from_follower && followed_host_.empty()) {
     ShareCrashSuspects();
   } else {
     // The relay that sent them has sent them to all domains.
-    RespondWithUpdates();
+    ScheduleSuspects();
   }
 }
 
--- a/src/libheathersteer/crash_suspect_table.cc
+++ b/src/libheathersteer/crash_suspect_table.cc
@@ -78,10 +78,10 @@
 bool CrashSuspectTable::RecordCrash(std::uint64_t fingerprint,
                                     std::uint64_t incarnation,
                                     Instant now) {
-  return Merge({{.fingerprint = fingerprint,
-                 .crashes = {{incarnation, now}},
-                 .cleared_at = Instant(0)}},
-               now);
+  return MergeFromFollower({{.fingerprint = fingerprint,
+                             .crashes = {{incarnation, now}},
+                             .cleared_at = Instant(0)}},
+                           now);
 }
 
 bool CrashSuspectTable::RecordCompletion(std::uint64_t fingerprint,
@@ -90,14 +90,31 @@
   if (found == entries_.end() || !Clear(found->second, now)) {
     return false;
   }
-  MarkChanged(found->second, now);
+  found->second.changed_in = ++sequence_;
+  found->second.observed_at = now;
   return true;
 }
 
 bool CrashSuspectTable::Merge(const std::vector<CrashSuspect>& suspects,
                               Instant now) {
+  return !Add(suspects, now).empty();
+}
+
+bool CrashSuspectTable::MergeFromFollower(
+    const std::vector<CrashSuspect>& suspects,
+    Instant now) {
+  const std::vector<std::uint64_t> changed = Add(suspects, now);
+  for (const std::uint64_t fingerprint : changed) {
+    entries_[fingerprint].observed_at = now;
+  }
+  return !changed.empty();
+}
+
+std::vector<std::uint64_t> CrashSuspectTable::Add(
+    const std::vector<CrashSuspect>& suspects,
+    Instant now) {
   if (suspects.empty()) {
-    return false;
+    return {};
   }
   std::vector<std::uint64_t> changed;
   for (const CrashSuspect& suspect : suspects) {
@@ -121,9 +138,9 @@
     return !entries_.contains(fingerprint);
   });
   for (const std::uint64_t fingerprint : changed) {
-    MarkChanged(entries_[fingerprint], now);
+    entries_[fingerprint].changed_in = ++sequence_;
   }
-  return !changed.empty();
+  return changed;
 }
 
 bool CrashSuspectTable::AddCrash(Entry& entry, const ServerCrash& crash) {
@@ -161,11 +178,6 @@
   return true;
 }
 
-void CrashSuspectTable::MarkChanged(Entry& entry, Instant now) {
-  entry.changed_in = ++sequence_;
-  entry.changed_at = now;
-}
-
 // What ran beside the cause of a crash is not suspected for it.
 bool CrashSuspectTable::IsExplained(std::uint64_t incarnation,
                                     std::uint64_t except) const {
@@ -230,7 +242,7 @@
 
 std::vector<CrashSuspect> CrashSuspectTable::Recent(Instant now) const {
   return Report(entries_, [&](const Entry& entry) {
-    return now - entry.changed_at <= kRepeatTime;
+    return entry.observed_at && now - *entry.observed_at <= kRepeatTime;
   });
 }
 
--- a/src/libheathersteer/crash_suspect_table_test.cc
+++ b/src/libheathersteer/crash_suspect_table_test.cc
@@ -134,6 +134,18 @@
   EXPECT_EQ(table_.sequence(), before);
 }
 
+TEST_F(CrashSuspectTableTest, OnlyOwnAndFollowersObservationsAreRepeated) {
+  CrashSuspectTable other;
+  other.RecordCrash(kOther, 1, now_);
+  table_.Merge(other.Since(0), now_);
+  EXPECT_TRUE(table_.Recent(now_).empty());
+  EXPECT_EQ(table_.Since(0).size(), 1U);
+  CrashSuspectTable follower;
+  follower.RecordCrash(kOther, 2, now_);
+  table_.MergeFromFollower(follower.Since(0), now_);
+  EXPECT_EQ(table_.Recent(now_).size(), 1U);
+}
+
 TEST_F(CrashSuspectTableTest, ChangesAreRepeatedForSomeSeconds) {
   Crash(kCulprit, 1, 1);
   EXPECT_EQ(table_.Recent(now_ + seconds(3)).size(), 1U);
--- a/testsuite/gateway/crash_test.py
+++ b/testsuite/gateway/crash_test.py
@@ -1,5 +1,7 @@
 """A request crashes each backend server that runs it."""
 
+import http.client
+import json
 import threading
 import time
 import unittest
@@ -93,6 +95,25 @@
         self.assertEqual(503, self.send_fatal(hosts[0], "again"))
         self.assertEqual(before, len(self.crashes))
 
+    def test_news_of_many_suspects_reaches_followers_in_few_messages(self):
+        relay, follower = self.start("d-a", "d-a")
+        follower.await_log("news come from h0")
+        before = follower.metric("heather_relay_requests_total")
+        begin = time.monotonic()
+        connection = http.client.HTTPConnection("127.0.0.1", relay.internal_port, timeout=5)
+        for number in range(150):
+            report = {"domain": "e-a", "suspects": [[number, -1, [[number, 0]]]], "needs_suspects": False}
+            connection.request("POST", "/limits", json.dumps(report))
+            response = connection.getresponse()
+            response.read()
+            self.assertEqual(200, response.status)
+            time.sleep(0.02)
+        connection.close()
+        elapsed = time.monotonic() - begin
+        requests = follower.metric("heather_relay_requests_total") - before
+        # A message each 150 ms, some sooner at the beginning, and a long poll a second.
+        self.assertLess(requests, elapsed / 0.15 + elapsed + 6)
+
     def test_requests_that_a_server_completes_are_not_held_back(self):
         (host,) = self.start("d-a")
         lost = threading.Event()
