--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -27,7 +27,7 @@
         self.removed = {}
         self.version = 0
         self.down = False
-        self.timeline = 1
+        self.timeline = 0
         self.reads = {}
         store = self
 
