--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -51,6 +51,9 @@
 
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
 
+  /// Rejects requests from now on; active ones continue.
+  void StopAccepting() { accepting_ = false; }
+
   /// Applies a configuration if its version is above the present one.
   void ApplyConfig(std::shared_ptr<const heathersteer::TrafficConfig> config);
 
@@ -114,6 +117,9 @@
   void Forward(const std::shared_ptr<HttpExchange>& exchange);
   void ForwardStartupQueue();
   void OnStartupWaitExpired(const std::shared_ptr<HttpExchange>& exchange);
+  void Reject(const std::shared_ptr<HttpExchange>& exchange,
+              HttpResponse response,
+              const char* reason);
   HttpResponse Rejection(heatherlever::Duration time_left);
   HttpResponse RejectionFor(heatherlever::Duration retry_after);
   heathersteer::OverloadThrottle& Throttle(const std::string& route);
@@ -151,6 +157,7 @@
   std::unique_ptr<StartupQueue> startup_queue_;
   // Whether a configuration and a backend server have become known.
   bool started_ = false;
+  bool accepting_ = true;
   Timer tick_;
   bool ticking_ = false;
   int host_count_ = 1;
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -54,7 +54,10 @@
 
 void Gateway::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   ++counters_.requests;
-  if (started_) {
+  if (!accepting_) {
+    // Other hosts can serve it at once.
+    Reject(exchange, RejectionFor(Duration(0)), "the host is stopping");
+  } else if (started_) {
     Forward(exchange);
   } else {
     startup_queue_->Add(exchange);
@@ -124,13 +127,19 @@
     Forward(exchange);
     return;
   }
-  const HttpHead& head = exchange->head();
-  spdlog::info(
-      "request id={} status={} reason=\"no configuration is known yet\"",
-      head.Value(options_.names.request_id), kStatusUnavailable);
-  const Duration left = ParseTimeLeft(head.Value(options_.names.time_left))
-                            .value_or(options_.max_startup_wait);
-  exchange->Respond(Rejection(left));
+  const Duration left =
+      ParseTimeLeft(exchange->head().Value(options_.names.time_left))
+          .value_or(options_.max_startup_wait);
+  Reject(exchange, Rejection(left), "no configuration is known yet");
+}
+
+void Gateway::Reject(const std::shared_ptr<HttpExchange>& exchange,
+                     HttpResponse response,
+                     const char* reason) {
+  spdlog::info("request id={} status={} reason=\"{}\"",
+               exchange->head().Value(options_.names.request_id),
+               response.status, reason);
+  exchange->Respond(std::move(response));
 }
 
 HttpResponse Gateway::Rejection(Duration time_left) {
