--- a/testsuite/gateway/planned_stop_test.py
+++ b/testsuite/gateway/planned_stop_test.py
@@ -19,7 +19,7 @@
         self.gone = threading.Event()
 
     # Callers that keep to a stopping host kept it busy until its grace period ended; what then ran was cut off.
-    def test_callers_that_keep_to_a_stopping_host_lose_no_request_that_was_read(self):
+    def test_callers_that_keep_to_a_stopping_host_lose_no_request_that_a_server_ran(self):
         def work(request, connection):
             backend.run(request)
             time.sleep(0.4)
