--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -173,6 +173,65 @@
         self.respond(handler, 200, {"objectVersion": self.version, "now": "1ms"})
 
 
+class PacedLink:
+    """Forwards connections to a port of this machine; all responses together pass at `bytes_per_s`. `passed` counts their
+    bytes."""
+
+    PIECE_S = 0.02
+
+    def __init__(self, target_port, bytes_per_s):
+        self.target_port = target_port
+        self.piece = int(bytes_per_s * self.PIECE_S)
+        self.passed = 0
+        self.turn = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def close(self):
+        # A blocked accept() returns only after a shutdown.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def accept(self):
+        while True:
+            try:
+                client = self.listener.accept()[0]
+            except OSError:
+                return
+            try:
+                server = socket.create_connection(("127.0.0.1", self.target_port))
+            except OSError:
+                client.close()
+                continue
+            # Small buffers, so that few bytes are in flight when the client ends the connection.
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            threading.Thread(target=self.serve, args=(client, server), daemon=True).start()
+
+    def serve(self, client, server):
+        with client, server:
+            requests = threading.Thread(target=self.pump, args=(client, server, False), daemon=True)
+            requests.start()
+            self.pump(server, client, True)
+            requests.join()
+
+    def pump(self, source, sink, paced):
+        try:
+            while data := source.recv(self.piece if paced else 65536):
+                if paced:
+                    with self.turn:
+                        time.sleep(self.PIECE_S)
+                        self.passed += len(data)
+                sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Backend:
     """A backend server. `behave(request, connection)` returns the bytes of the
     response, or None to close the connection without one. `runs` lists the ids of
