Wait for responses that keep arriving

What callers saw: requests of routes with homes ran in another region, at hosts that had not taken over a configuration for over 3 s (HOME, CONFIG).

Cause: relay responses, reads of the store and peer queries had to be complete within 1.25 s, 1.2 s and 0.4 s. A configuration of 4,222 routes is 1.1 MB, 1.4 MB as the store sends it, and takes as long on a link of 10 Mbit/s. It was given up shortly before its end, and requested again from the beginning, from the relay and from the store at once, so that both were slower.

Change: ResponseTimer limits the time until a response begins and the time in which none of it arrives, not its whole duration. Messages on a response that is given up say how many bytes had arrived.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -13,6 +13,7 @@
 #include "heathergate/fleet_source.h"
 #include "heathergate/http_client.h"
 #include "heathergate/http_server.h"
+#include "heathergate/response_timer.h"
 #include "heathergate/timer.h"
 #include "heathersteer/burst_limiter.h"
 #include "heathersteer/crash_suspect_table.h"
@@ -160,7 +161,7 @@
   Timer register_timer_;
   Timer hosts_timer_;
   Timer follow_timer_;
-  Timer response_timer_;
+  ResponseTimer response_timer_;
   Timer tick_timer_;
   Timer suspects_timer_;
   std::list<PendingRequest> pending_;
--- a/src/include/heathergate/http_call.h
+++ b/src/include/heathergate/http_call.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERGATE_HTTP_CALL_H_
 #define HEATHERGATE_HTTP_CALL_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,9 +44,15 @@
   /// Closes the call's connection; `done` is not called.
   void Cancel();
 
+  /// Whether the call has neither ended nor been cancelled.
+  bool active() const { return done_ != nullptr; }
+
   /// Whether a byte of the request has been written.
   bool sent() const { return sent_; }
 
+  /// Number of bytes received on the connection since the call was sent.
+  std::uint64_t received_bytes() const { return received_bytes_; }
+
  private:
   friend class HttpConnection;
 
@@ -54,6 +61,7 @@
   Done done_;
   std::shared_ptr<HttpConnection> connection_;
   bool sent_ = false;
+  std::uint64_t received_bytes_ = 0;
 };
 
 }  // namespace heathergate
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -342,11 +342,6 @@
       .limits = CollectDomainLimits(),
       .suspects = listener_.crash_suspects().Recent(EventLoop::Now())};
   const std::string body = EncodeRequest(request, EventLoop::Now());
-  response_timer_.Start(timing_.long_poll_timeout + kResponseSlack,
-                        [this, host] {
-                          CancelRelayRequest();
-                          OnFollowFailed(host, "no answer in time");
-                        });
   relay_call_ = client_.Send({host.name, host.relay_address, host.relay_port},
                              PostHead(kRelayPath, host.name, body.size()), body,
                              "", [this, host](const CallResult& result) {
@@ -354,6 +349,13 @@
                                relay_call_ = nullptr;
                                OnRelayResponse(host, result);
                              });
+  response_timer_.Start(
+      relay_call_, timing_.long_poll_timeout + kResponseSlack, [this, host] {
+        const std::uint64_t received = relay_call_->received_bytes();
+        CancelRelayRequest();
+        OnFollowFailed(host, "no answer in time, bytes received: " +
+                                 std::to_string(received));
+      });
 }
 
 void FleetAgent::OnRelayResponse(const HostRegistration& host,
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -139,6 +139,7 @@
       return;
     }
     std::size_t used = 0;
+    call_->received_bytes_ += data.size();
     const ReadStatus status = reader_.Feed(data, &used);
     data.remove_prefix(used);
     if (status == ReadStatus::kNeedMore) {
--- a/src/libheathergate/peer_query.cc
+++ b/src/libheathergate/peer_query.cc
@@ -36,7 +36,8 @@
     : make_body_(std::move(make_body)),
       on_response_(std::move(on_response)),
       client_(loop, ClientOptions()),
-      timer_(loop) {}
+      timer_(loop),
+      response_timer_(loop) {}
 
 PeerQuery::~PeerQuery() {
   SetActive(false);
@@ -56,6 +57,7 @@
     return;
   }
   timer_.Cancel();
+  response_timer_.Cancel();
   if (const auto call = std::exchange(call_, nullptr)) {
     call->Cancel();
   }
@@ -68,20 +70,19 @@
   }
   const HttpPeer& peer = peers_[next_++ % peers_.size()];
   const std::string body = make_body_();
-  timer_.Start(kResponseTimeout, [this] {
-    if (const auto call = std::exchange(call_, nullptr)) {
-      call->Cancel();
-    }
-    ScheduleQuery();
-  });
   call_ = client_.Send(peer, PostHead(kPath, peer.name, body.size()), body, "",
                        [this, name = peer.name](const CallResult& result) {
                          call_ = nullptr;
                          OnDone(name, result);
                        });
+  response_timer_.Start(call_, kResponseTimeout, [this] {
+    std::exchange(call_, nullptr)->Cancel();
+    ScheduleQuery();
+  });
 }
 
 void PeerQuery::OnDone(const std::string& peer, const CallResult& result) {
+  response_timer_.Cancel();
   ScheduleQuery();
   if (result.outcome != CallOutcome::kAnswered ||
       result.head.status != kStatusOk) {
--- a/src/libheathergate/peer_query.h
+++ b/src/libheathergate/peer_query.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "heathergate/http_client.h"
+#include "heathergate/response_timer.h"
 #include "heathergate/timer.h"
 
 namespace heathernet {
@@ -48,6 +49,7 @@
   OnResponse on_response_;
   HttpClient client_;
   Timer timer_;
+  ResponseTimer response_timer_;
   std::vector<HttpPeer> peers_;
   std::size_t next_ = 0;
   std::shared_ptr<HttpCall> call_;
