Send followers only what changed in the operator's document

Cause: a follower got the whole document for every change, so that a change of one route took 1.35 MB for each host: 13.5 MB for the 10 followers of one relay, which is 11 s for a relay with a link of 10 Mbit/s. A follower whose state was stale meanwhile read the document from the store since the version of its own last read, though the relay had sent it later ones.

Change: a request names the version of the document that the sender has, and the response holds the difference to it (DocumentDelta, checked by a digest), if the relay remembers that version (DocumentHistory). A watch of the store continues from what other hosts have sent.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -17,6 +17,7 @@
 #include "heathergate/timer.h"
 #include "heathersteer/burst_limiter.h"
 #include "heathersteer/crash_suspect_table.h"
+#include "heathersteer/document_history.h"
 #include "heathersteer/host_table.h"
 #include "heathersteer/limit_pool.h"
 #include "heathersteer/limit_summary.h"
@@ -119,6 +120,11 @@
   void OnServersChanged();
   void OnOperatorState(const heathersteer::OperatorState& state);
   void NotifyOperatorState();
+  // Adds what a host lacks that has `document_version` of the document.
+  void AddOperatorState(std::uint64_t document_version,
+                        RelayResponse& response);
+  void ApplyOperatorState(const RelayResponse& response);
+  std::uint64_t DocumentVersion() const;
   void CancelRelayRequest();
   bool IsStale() const;
   std::string MakeQuery() const;
@@ -153,6 +159,10 @@
   heathersteer::LiveHosts live_hosts_;
   heathersteer::ServerList servers_;
   heathersteer::OperatorStateMerge operator_state_;
+  heathersteer::DocumentHistory documents_;
+  // Whether this host's document is not the one that other hosts have under its
+  // version, so that deltas don't apply.
+  bool document_diverged_ = false;
   heathersteer::HostTable hosts_;
   HttpClient client_;
   std::unique_ptr<PeerQuery> peer_query_;
--- a/src/include/heathergate/fleet_source.h
+++ b/src/include/heathergate/fleet_source.h
@@ -30,6 +30,10 @@
   /// called when the store recovers, since the call may have been lost.
   virtual void RestartWatch() = 0;
 
+  /// Takes over a state that another host has read, if it is newer. The next
+  /// WatchOperatorState call waits for changes after it.
+  virtual void SkipTo(const heathersteer::OperatorState& state) = 0;
+
   virtual void ReadServers(
       Done<heathersteer::Listing<heathersteer::BackendServer>> done) = 0;
 
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -23,6 +23,7 @@
 using heatherlever::Instant;
 using heathernet::EventLoop;
 using heathersteer::BackendServer;
+using heathersteer::DocumentDelta;
 using heathersteer::HostRegistration;
 using heathersteer::Listing;
 using heathersteer::OperatorState;
@@ -166,7 +167,8 @@
 std::string FleetAgent::MakeQuery() const {
   return EncodeQuery({.list_age = EventLoop::Now() - servers_.known_at(),
                       .list_digest = changes_.digest(),
-                      .operator_version = operator_state_.state().version});
+                      .operator_version = operator_state_.state().version,
+                      .document_version = DocumentVersion()});
 }
 
 void FleetAgent::OnQuery(const std::shared_ptr<HttpExchange>& exchange) {
@@ -192,7 +194,7 @@
     }
   }
   if (operator_state_.state().version > query->operator_version) {
-    response.operator_state = operator_state_.state();
+    AddOperatorState(query->document_version, response);
   }
   exchange->Respond(HttpResponse::Of(kStatusOk, EncodeResponse(response, now)));
 }
@@ -204,9 +206,7 @@
     spdlog::info("{} hosts are registered, by another host",
                  response.host_count);
   }
-  if (response.operator_state) {
-    OnOperatorState(*response.operator_state);
-  }
+  ApplyOperatorState(response);
   const Instant known_at = EventLoop::Now() - response.age;
   if (response.same_list) {
     servers_.Confirm(known_at);
@@ -337,6 +337,7 @@
       .incarnation = followed_incarnation_,
       .servers_sequence = same ? followed_servers_sequence_ : 0,
       .operator_sequence = same ? followed_operator_sequence_ : 0,
+      .document_version = DocumentVersion(),
       .live_sequence = same ? followed_live_sequence_ : 0,
       .suspects_sequence = same ? followed_suspects_sequence_ : 0,
       .limits = CollectDomainLimits(),
@@ -421,9 +422,7 @@
     LogQuarantined();
     ScheduleSuspects();
   }
-  if (response.operator_state) {
-    OnOperatorState(*response.operator_state);
-  }
+  ApplyOperatorState(response);
   ApplyServers(response, known_at);
   if (response.caller_endpoints) {
     followed_endpoints_ = *response.caller_endpoints;
@@ -487,6 +486,9 @@
   const StoreVersion known = operator_state_.state().version;
   if (operator_state_.Update(state, EventLoop::Now())) {
     ++operator_sequence_;
+    documents_.Update(operator_state_.state().document,
+                      operator_state_.state().document_version);
+    source_.SkipTo(operator_state_.state());
     NotifyOperatorState();
     RespondWithUpdates();
   } else if (state.version < known) {
@@ -499,6 +501,52 @@
   OnTimeline(state.version.timeline);
 }
 
+std::uint64_t FleetAgent::DocumentVersion() const {
+  return document_diverged_ ? 0 : operator_state_.state().document_version;
+}
+
+void FleetAgent::AddOperatorState(std::uint64_t document_version,
+                                  RelayResponse& response) {
+  response.operator_state = operator_state_.state();
+  const bool same =
+      document_version == response.operator_state->document_version;
+  if (const auto* delta = documents_.Since(document_version)) {
+    response.document_delta = *delta;
+  }
+  if (same || response.document_delta) {
+    response.operator_state->document.clear();
+  }
+}
+
+void FleetAgent::ApplyOperatorState(const RelayResponse& response) {
+  if (!response.operator_state) {
+    return;
+  }
+  OperatorState received = *response.operator_state;
+  const OperatorState& known = operator_state_.state();
+  if (response.document_delta &&
+      received.document_version > known.document_version) {
+    const DocumentDelta& delta = *response.document_delta;
+    // Another host may have sent a newer document since the request.
+    const bool same_base = delta.base_version == known.document_version;
+    auto document =
+        same_base ? ApplyDocumentDelta(known.document, delta) : std::nullopt;
+    if (!document) {
+      spdlog::warn("delta from document {} to {} does not apply to document {}",
+                   delta.base_version, received.document_version,
+                   known.document_version);
+      document_diverged_ = same_base;
+      followed_operator_sequence_ = 0;
+      return;
+    }
+    received.document = *std::move(document);
+  }
+  if (!received.document.empty()) {
+    document_diverged_ = false;
+  }
+  OnOperatorState(received);
+}
+
 void FleetAgent::NotifyOperatorState() {
   listener_.on_operator_state(operator_state_.effective());
 }
@@ -614,7 +662,7 @@
         changes_.Since(same ? request.servers_sequence : std::uint64_t{0});
   }
   if (!same || request.operator_sequence != operator_sequence_) {
-    response.operator_state = operator_state_.state();
+    AddOperatorState(request.document_version, response);
   }
   if (!same || request.live_sequence != live_sequence_) {
     response.caller_endpoints = CallerEndpoints();
--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -12,6 +12,7 @@
 using heatherlever::Instant;
 using heathersteer::BackendServer;
 using heathersteer::CrashSuspect;
+using heathersteer::DocumentDelta;
 using heathersteer::LimitReport;
 using heathersteer::LimitSummary;
 using heathersteer::OperatorState;
@@ -79,6 +80,32 @@
   return state;
 }
 
+// An array without names: offset, size and text of each piece in turn.
+json FromDocumentDelta(const DocumentDelta& delta) {
+  json pieces = json::array();
+  for (const DocumentDelta::Piece& piece : delta.pieces) {
+    pieces.push_back(piece.offset);
+    pieces.push_back(piece.size);
+    pieces.push_back(piece.text);
+  }
+  return {{"base", delta.base_version},
+          {"digest", delta.digest},
+          {"pieces", std::move(pieces)}};
+}
+
+DocumentDelta ToDocumentDelta(const json& value) {
+  DocumentDelta delta;
+  delta.base_version = value.at("base").get<std::uint64_t>();
+  delta.digest = value.at("digest").get<std::uint64_t>();
+  const json& pieces = value.at("pieces");
+  for (std::size_t i = 0; i < pieces.size(); i += 3) {
+    delta.pieces.push_back({.offset = pieces.at(i).get<std::size_t>(),
+                            .size = pieces.at(i + 1).get<std::size_t>(),
+                            .text = pieces.at(i + 2).get<std::string>()});
+  }
+  return delta;
+}
+
 json FromDelta(const ServerDelta& delta, Instant now) {
   json changed = json::array();
   for (const BackendServer& server : delta.changed) {
@@ -180,6 +207,9 @@
   if (value.contains("operator")) {
     response.operator_state = ToOperator(value.at("operator"));
   }
+  if (value.contains("document_delta")) {
+    response.document_delta = ToDocumentDelta(value.at("document_delta"));
+  }
   if (value.contains("fronts")) {
     response.caller_endpoints =
         value.at("fronts").get<std::vector<std::string>>();
@@ -215,6 +245,9 @@
   if (response.operator_state) {
     value["operator"] = FromOperator(*response.operator_state);
   }
+  if (response.document_delta) {
+    value["document_delta"] = FromDocumentDelta(*response.document_delta);
+  }
   if (response.caller_endpoints) {
     value["fronts"] = *response.caller_endpoints;
   }
@@ -244,6 +277,7 @@
                 {"instance", request.incarnation},
                 {"servers_sequence", request.servers_sequence},
                 {"operator_sequence", request.operator_sequence},
+                {"document_version", request.document_version},
                 {"live_sequence", request.live_sequence},
                 {"suspects_sequence", request.suspects_sequence}};
   if (request.limits) {
@@ -269,6 +303,8 @@
         value.at("servers_sequence").get<std::uint64_t>();
     request.operator_sequence =
         value.at("operator_sequence").get<std::uint64_t>();
+    request.document_version =
+        value.at("document_version").get<std::uint64_t>();
     request.live_sequence = value.at("live_sequence").get<std::uint64_t>();
     if (value.contains("limits")) {
       request.limits = ToLimits(value.at("limits"), now);
@@ -328,7 +364,8 @@
 std::string EncodeQuery(const UpdateQuery& query) {
   return json{{"list_age_us", query.list_age.count()},
               {"list_digest", query.list_digest},
-              {"operator_version", FromVersion(query.operator_version)}}
+              {"operator_version", FromVersion(query.operator_version)},
+              {"document_version", query.document_version}}
       .dump();
 }
 
@@ -339,6 +376,7 @@
     query.list_age = Duration(value.at("list_age_us").get<std::int64_t>());
     query.list_digest = value.at("list_digest").get<std::uint64_t>();
     query.operator_version = ToVersion(value.at("operator_version"));
+    query.document_version = value.at("document_version").get<std::uint64_t>();
     return query;
   } catch (const json::exception&) {
     return std::nullopt;  // The calling code responds with 400.
--- a/src/libheathergate/relay_codec.h
+++ b/src/libheathergate/relay_codec.h
@@ -9,6 +9,7 @@
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
 #include "heathersteer/crash_suspect.h"
+#include "heathersteer/document_delta.h"
 #include "heathersteer/limit_summary.h"
 #include "heathersteer/operator_state.h"
 #include "heathersteer/server_delta.h"
@@ -26,6 +27,8 @@
   std::string incarnation;
   std::uint64_t servers_sequence = 0;
   std::uint64_t operator_sequence = 0;
+  /// Version of the operator's document that the sender has; 0 for none.
+  std::uint64_t document_version = 0;
   std::uint64_t live_sequence = 0;
   std::uint64_t suspects_sequence = 0;
   /// The sender's observations of limits and its demand.
@@ -54,6 +57,8 @@
   std::uint64_t list_digest = 0;
   /// Version of the sender's copy of the operator's state.
   heathersteer::StoreVersion operator_version;
+  /// Version of the operator's document that the sender has; 0 for none.
+  std::uint64_t document_version = 0;
 };
 
 /// Response to a RelayRequest or an UpdateQuery. Parts without an update are
@@ -74,7 +79,10 @@
   /// Whether the receiver's list of servers is still correct, as of `age` ago.
   bool same_list = false;
   std::optional<heathersteer::ServerDelta> servers;
+  /// Without the document if the receiver has this version of it or gets a
+  /// delta.
   std::optional<heathersteer::OperatorState> operator_state;
+  std::optional<heathersteer::DocumentDelta> document_delta;
   std::optional<std::vector<std::string>> caller_endpoints;
   /// Limits known to the sender and the demand of all hosts known to it; absent
   /// without any limit.
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -26,6 +26,8 @@
                              .document = "{\"version\":7}",
                              .document_version = 7,
                              .evacuated = {"north-a"}};
+  response.document_delta = {
+      .base_version = 6, .digest = UINT64_MAX, .pieces = {{0, 5, "x\"}"}}};
   response.caller_endpoints = {"10.0.0.1:80"};
   response.limits = {.hosts = 4,
                      .reports = {{.server_id = "i-1",
@@ -46,6 +48,7 @@
   EXPECT_EQ(decoded->timeline, 3U);
   EXPECT_EQ(decoded->servers->removed, std::vector<std::string>{"i-2"});
   EXPECT_EQ(*decoded->operator_state, *response.operator_state);
+  EXPECT_EQ(*decoded->document_delta, *response.document_delta);
   EXPECT_EQ(*decoded->caller_endpoints, *response.caller_endpoints);
   EXPECT_EQ(decoded->limits->hosts, 4);
   const heathersteer::LimitReport& report = decoded->limits->reports.front();
@@ -93,11 +96,13 @@
 TEST(RelayCodecTest, QueryRoundTripKeepsAgeDigestAndVersion) {
   const auto decoded = DecodeQuery(EncodeQuery({.list_age = seconds(12),
                                                 .list_digest = UINT64_MAX,
-                                                .operator_version = {2, 60}}));
+                                                .operator_version = {2, 60},
+                                                .document_version = 9}));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->list_age, seconds(12));
   EXPECT_EQ(decoded->list_digest, UINT64_MAX);
   EXPECT_EQ(decoded->operator_version, (heathersteer::StoreVersion{2, 60}));
+  EXPECT_EQ(decoded->document_version, 9U);
 }
 
 TEST(RelayCodecTest, MalformedTextDecodesToNothing) {
