--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -18,8 +18,9 @@
 class Store:
     """The store's rows, served over HTTP as PROTOCOL.md says. `down` makes it
     respond with 503; `reads` counts reads by table. `open_port()` opens a further port
-    to the same rows, at which requests can be refused separately. `copy()` returns a
-    copy of the rows for `restore()`, which begins a new timeline."""
+    to the same rows, at which requests can be refused separately, and at which the rows
+    of the servers named in `addresses` (id -> "ip:port") show these addresses. `copy()`
+    returns a copy of the rows for `restore()`, which begins a new timeline."""
 
     def __init__(self):
         self.condition = threading.Condition()
@@ -46,12 +47,14 @@
         self.handler = Handler
         self.servers = []
         self.refused_ports = set()
+        self.addresses = {}
         self.port = self.open_port()
 
-    def open_port(self):
+    def open_port(self, addresses=None):
         server = ThreadingHTTPServer(("127.0.0.1", 0), self.handler)
         server.daemon_threads = True
         self.servers.append(server)
+        self.addresses[server.server_address[1]] = addresses or {}
         threading.Thread(target=server.serve_forever, daemon=True).start()
         return server.server_address[1]
 
@@ -72,6 +75,10 @@
             server.shutdown()
             server.server_close()
 
+    def value(self, table, key):
+        with self.condition:
+            return json.loads(base64.b64decode(self.rows[(table, key)][0]))
+
     def copy(self):
         with self.condition:
             return dict(self.rows), dict(self.removed), self.version
@@ -121,10 +128,10 @@
         with self.condition:
             self.reads[query["table"]] = self.reads.get(query["table"], 0) + 1
             self.condition.notify_all()
+            port = handler.server.server_address[1]
             if url.path == "/heatherlever/rows-get":
                 rows = self.changed_rows(query["table"], 0)
             else:
-                port = handler.server.server_address[1]
                 after = int(query["after"])
                 timeline = self.timeline
                 self.await_change(query["table"], after, int(query["waitMs"]) / 1000, port)
@@ -134,9 +141,19 @@
                     self.respond(handler, 410, {})
                     return
                 rows = self.changed_rows(query["table"], after) + self.removed_rows(query["table"], after)
+            rows = [self.row_at(port, row) for row in rows]
             body = {"rows": rows, "hasMore": False, "objectVersion": self.version, "now": "1ms"}
         self.respond(handler, 200, body)
 
+    def row_at(self, port, row):
+        """Returns a row as it is shown at a port."""
+        address = self.addresses[port].get(row["key"])
+        if row["table"] != "servers" or "value" not in row or address is None:
+            return row
+        value = json.loads(base64.b64decode(row["value"]))
+        value["address"] = address
+        return {**row, "value": base64.b64encode(json.dumps(value).encode()).decode()}
+
     def changed_rows(self, table, after):
         return [
             {"table": table, "part": "", "key": key, "value": value, "objectVersion": version}
