--- a/src/libheathergate/response_timer.cc
+++ b/src/libheathergate/response_timer.cc
@@ -11,8 +11,8 @@
 using heatherlever::Duration;
 
 // Interval in which at least kMinProgressBytes of a response have to arrive. It
-// covers a retransmission.
-constexpr Duration kProgressInterval = std::chrono::milliseconds(600);
+// covers two retransmissions in a row.
+constexpr Duration kProgressInterval = std::chrono::milliseconds(1000);
 // A peer that sends less is treated as unresponsive.
 constexpr std::uint64_t kMinProgressBytes = 4096;
 
