Pass requests on to other hosts while no backend server is reachable

Cause: a host took every failed connection for a failure of that server. It suspended one after the other, and had no way to notice that it was the cause, nor to say so: the directory went on naming it, and a request had no way but its own connections.

A host that is cut off passes requests on over one hop to hosts that reach the servers (DetourHosts), with the attempts that are left and the version of its configuration, and reports itself as not ready to its domain. Failures while it is cut off don't count against servers, nor does a timed out connection as a crash under a request.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -48,6 +48,9 @@
       on_servers;
   /// Number of registered entry hosts.
   std::function<void(int)> on_host_count;
+  /// The registered hosts, whenever they were read from the store.
+  std::function<void(const std::vector<heathersteer::HostRegistration>&)>
+      on_hosts;
   /// Returns this host's observations of rate limits and its demand.
   std::function<heathersteer::LimitSummary()> report_limits;
   /// Limits and demand of all hosts known.
@@ -82,6 +85,9 @@
   /// address than this host's relay address.
   void HandleRequest(const std::shared_ptr<HttpExchange>& exchange);
 
+  /// Reads the registrations of hosts from the store anew.
+  void RefreshHosts();
+
   /// Notifies the other hosts that this host accepts no more requests.
   void StartLeaving();
 
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "heathergate/gateway_counters.h"
 #include "heathergate/gateway_options.h"
@@ -16,11 +17,13 @@
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
 #include "heathersteer/crash_suspect_table.h"
+#include "heathersteer/detour_hosts.h"
 #include "heathersteer/limit_summary.h"
 #include "heathersteer/overload_throttle.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
 #include "heathersteer/route_table.h"
+#include "heathersteer/server_reachability.h"
 #include "heathersteer/server_table.h"
 #include "heathersteer/shift_limiter.h"
 #include "heathersteer/traffic_split.h"
@@ -37,6 +40,7 @@
 
 namespace heathergate {
 
+class ConnectionTrial;
 class StartupQueue;
 class ForwardedRequest;
 class HttpExchange;
@@ -98,6 +102,17 @@
     on_crash_suspect_ = std::move(function);
   }
 
+  /// Whether this host reaches no backend server, although there are some.
+  bool cut_off() const { return reachability_.cut_off(); }
+
+  /// Sets a function that is called when cut_off() has changed.
+  void OnCutOffChanged(std::function<void()> function) {
+    on_cut_off_changed_ = std::move(function);
+  }
+
+  /// The hosts to which requests are passed on while this one is cut off.
+  heathersteer::DetourHosts& detour_hosts() { return detour_hosts_; }
+
   /// Number of requests that are not sent, as they crash servers.
   std::size_t quarantined() const;
 
@@ -117,6 +132,15 @@
   void Forward(const std::shared_ptr<HttpExchange>& exchange);
   void ForwardStartupQueue();
   void OnStartupWaitExpired(const std::shared_ptr<HttpExchange>& exchange);
+  bool MayTakeDetoured(const HttpExchange& exchange) const;
+  // Tells a host that passed a request on that another one may handle it.
+  HttpResponse DetourRejection();
+  void RejectDetoured(const std::shared_ptr<HttpExchange>& exchange);
+  void OnServerUnreachable(const std::string& server_id);
+  void TryServers();
+  void OnTrialDone(const std::vector<std::string>& server_ids,
+                   bool any_connected);
+  void ScheduleTrial();
   void Reject(const std::shared_ptr<HttpExchange>& exchange,
               HttpResponse response,
               const char* reason);
@@ -144,6 +168,12 @@
   heathersteer::WaitQueue queue_;
   heathersteer::CrashSuspectTable crash_suspects_;
   std::function<void()> on_crash_suspect_ = [] {};
+  heathersteer::ServerReachability reachability_;
+  std::unique_ptr<ConnectionTrial> trial_;
+  Timer trial_timer_;
+  std::function<void()> on_cut_off_changed_ = [] {};
+  heathersteer::DetourHosts detour_hosts_;
+  int detoured_active_ = 0;
   std::shared_ptr<const heathersteer::TrafficConfig> config_;
   std::shared_ptr<const heathersteer::RouteTable> routes_;
   std::shared_ptr<heathersteer::SteeringRules> rules_;
--- a/src/include/heathergate/gateway_counters.h
+++ b/src/include/heathergate/gateway_counters.h
@@ -28,6 +28,10 @@
   std::uint64_t quarantined = 0;
   /// Requests sent to servers with a rate limit.
   std::uint64_t limited_sends = 0;
+  /// Requests sent to other hosts, as no backend server was reachable.
+  std::uint64_t detours = 0;
+  /// Requests of other hosts that reached no backend server.
+  std::uint64_t detoured = 0;
 };
 
 }  // namespace heathergate
--- a/src/include/heathergate/gateway_options.h
+++ b/src/include/heathergate/gateway_options.h
@@ -21,6 +21,8 @@
   /// the first configuration and backend server. Reading them takes some round
   /// trips to the platform's store.
   heatherlever::Duration max_startup_wait = std::chrono::milliseconds(250);
+  /// Maximum number of active requests that other hosts have passed on.
+  int max_detoured = 64;
   /// Seed of the random numbers: jitter of Retry-After, throttling.
   std::uint64_t seed = 0;
 };
--- a/src/include/heathergate/header_names.h
+++ b/src/include/heathergate/header_names.h
@@ -25,6 +25,11 @@
   std::string server_load = "Heather-Server-Load";
   /// Requests/s that a backend server accepts from all hosts together.
   std::string server_limit = "Heather-Server-Limit";
+  /// Between entry hosts. In a request that another host passes on: maximum
+  /// number of backend servers to which it may be sent, and version of that
+  /// host's configuration. In a response: the host did not handle the request,
+  /// but another one may.
+  std::string detour = "Heather-Detour";
 };
 
 }  // namespace heathergate
--- a/src/include/heathergate/http_call.h
+++ b/src/include/heathergate/http_call.h
@@ -30,6 +30,9 @@
   std::string body;
   /// Whether the call failed because the peer ended the connection.
   bool ended_by_peer = false;
+  /// Whether the peer could not be connected to, or its kernel stopped
+  /// acknowledging.
+  bool unreachable = false;
   /// Error text for logs; empty unless the call failed.
   std::string error;
 };
--- a/src/include/heathersteer/server_health.h
+++ b/src/include/heathersteer/server_health.h
@@ -20,6 +20,9 @@
   /// Records a failed, broken or unresponsive connection.
   void RecordFailure(heatherlever::Instant now);
 
+  /// Forgets failures that were not the server's own.
+  void Reinstate();
+
   /// Whether requests may be sent to the server now.
   bool usable(heatherlever::Instant now) const {
     return now >= suspended_until_;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -268,6 +268,13 @@
   });
 }
 
+void FleetAgent::RefreshHosts() {
+  // Before the first read a read is due anyway.
+  if (hosts_known_) {
+    ReadHosts();
+  }
+}
+
 void FleetAgent::OnHostsRead(const Listing<HostRegistration>& hosts) {
   const bool first = !std::exchange(hosts_known_, true);
   const bool restored = !first && hosts.timeline > hosts_.timeline();
@@ -275,6 +282,7 @@
   const std::vector<HostRegistration> known = hosts_.hosts();
   relay_order_.SetHosts(known);
   SetPeers(known);
+  listener_.on_hosts(known);
   limit_exchange_->SetHosts(relay_order_.self(), known);
   SetHostCount(std::max(1, static_cast<int>(known.size())));
   spdlog::info("{} hosts are registered", host_count_);
@@ -846,6 +854,11 @@
     ready_ = ready;
     ++live_sequence_;
     RespondWithUpdates();
+    if (!followed_host_.empty() && relay_call_ != nullptr) {
+      // Notifies the followed host at once.
+      CancelRelayRequest();
+      Follow();
+    }
   }
 }
 
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -1,5 +1,6 @@
 #include "libheathergate/forwarded_request.h"
 
+#include <absl/strings/numbers.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 #include "heathersteer/milliseconds.h"
 #include "heathersteer/rejection.h"
 #include "heathersteer/steering_rules.h"
+#include "libheathergate/detour_field.h"
 #include "libheathergate/load_report.h"
 #include "libheathergate/rate_limit_field.h"
 #include "libheathergate/request_fingerprint.h"
@@ -35,6 +37,17 @@
   return status >= 200 && status < 300;
 }
 
+// Maximum number of hosts to which a request is passed on until one handles it.
+constexpr std::size_t kMaxDetours = 5;
+
+// Maximum number of servers to which a request may be sent: the route's, or
+// what the host that passed the request on has left of it.
+int MaxAttempts(const heathersteer::Route& route, const std::string* detour) {
+  const auto field = DetourField::Parse(detour == nullptr ? "" : *detour);
+  return field ? std::min(field->attempts_left, route.max_attempts)
+               : route.max_attempts;
+}
+
 // Statuses by which callers know that a request has not run.
 bool StatesNotRun(int status) {
   return status == kStatusTooManyRequests || status == kStatusUnavailable ||
@@ -55,9 +68,14 @@
       config_(std::move(config)),
       route_(route),
       service_(service),
-      policy_(route.idempotent, route.max_attempts),
+      policy_(
+          route.idempotent,
+          MaxAttempts(route,
+                      exchange_->head().Find(gateway.options_.names.detour))),
       deadline_timer_(loop),
-      queue_timer_(loop) {
+      queue_timer_(loop),
+      detoured_(exchange_->head().Find(gateway.options_.names.detour) !=
+                nullptr) {
   const HeaderNames& names = gateway_.options_.names;
   id_ = exchange_->head().Value(names.request_id);
   affinity_key_ = exchange_->head().Value(names.affinity_key);
@@ -76,8 +94,15 @@
   });
   const Instant last = std::min(caller_deadline_, deadline_ + kTimeoutSlack);
   deadline_timer_.Start(last - EventLoop::Now(), [this] { OnDeadline(); });
+  if (detoured_) {
+    ++gateway_.detoured_active_;
+    ++gateway_.counters_.detoured;
+  }
   const Instant now = EventLoop::Now();
-  gateway_.Budget(service_.name).CountRequest(now);
+  if (!gateway_.cut_off()) {
+    // Otherwise the host that it is passed on to counts it.
+    gateway_.Budget(service_.name).CountRequest(now);
+  }
   if (gateway_.Throttle(route_.name).ShouldReject(now, gateway_.Random())) {
     ++gateway_.counters_.throttled;
     Reject("servers run out of time");
@@ -87,6 +112,10 @@
 }
 
 void ForwardedRequest::Place() {
+  if (gateway_.cut_off()) {
+    Detour();
+    return;
+  }
   if (TryPlace() || ended_) {
     return;
   }
@@ -102,6 +131,84 @@
   });
 }
 
+void ForwardedRequest::Detour() {
+  const auto* host =
+      detoured_ || detour_hosts_.size() >= kMaxDetours
+          ? nullptr
+          : gateway_.detour_hosts_.Choose(route_.home_regions, detour_hosts_,
+                                          EventLoop::Now());
+  if (host != nullptr) {
+    SendDetour(*host);
+  } else if (detoured_ && !policy_.may_have_run()) {
+    Finish(gateway_.DetourRejection(), "no backend server is reachable");
+  } else {
+    EndUnplaced("no backend server is reachable");
+  }
+}
+
+void ForwardedRequest::SendDetour(const heathersteer::HostRegistration& host) {
+  const std::size_t colon = host.caller_endpoint.rfind(':');
+  int port = 0;
+  detour_hosts_.push_back(host.name);
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(host.caller_endpoint.substr(colon + 1), &port)) {
+    gateway_.detour_hosts_.RecordUnavailable(host.name, EventLoop::Now());
+    Detour();
+    return;
+  }
+  ++gateway_.counters_.detours;
+  sent_at_ = EventLoop::Now();
+  const DetourField field{
+      .attempts_left = route_.max_attempts - policy_.sends(),
+      .config_version = config_->version};
+  call_ = gateway_.client_.Send(
+      {"host " + host.name, host.caller_endpoint.substr(0, colon),
+       static_cast<std::uint16_t>(port)},
+      MakeHead({gateway_.options_.names.detour, field.Format()}),
+      exchange_->body(), id_,
+      [self = weak_from_this(), name = host.name](const CallResult& result) {
+        if (const auto request = self.lock()) {
+          request->OnDetourDone(name, result);
+        }
+      });
+}
+
+void ForwardedRequest::OnDetourDone(const std::string& host,
+                                    const CallResult& result) {
+  call_ = nullptr;
+  const Instant now = EventLoop::Now();
+  if (ended_) {
+    return;
+  }
+  const bool broken = ClassifyResult(result) == AttemptOutcome::kBroken;
+  if (result.outcome == CallOutcome::kAnswered && !broken &&
+      result.head.Find(gateway_.options_.names.detour) == nullptr) {
+    gateway_.detour_hosts_.RecordHandled(host, now);
+    DeliverDetour(result);
+    return;
+  }
+  gateway_.detour_hosts_.RecordUnavailable(host, now);
+  if (broken) {
+    spdlog::info("request id={} broken at host {} after {} ms: {}", id_, host,
+                 Milliseconds(now - sent_at_), result.error);
+    // All attempts that are left may have been made there.
+    Fail(kStatusBadGateway, "outcome unknown");
+    return;
+  }
+  Place();
+}
+
+// The other host has already replaced statuses of servers that would state
+// falsely that the request has not run.
+void ForwardedRequest::DeliverDetour(const CallResult& result) {
+  if (StatesNotRun(result.head.status) && policy_.may_have_run()) {
+    Fail(kStatusBadGateway, "outcome unknown");
+    return;
+  }
+  DeliverResponse(HttpResponse::Of(result.head.status, result.body),
+                  result.head, {});
+}
+
 void ForwardedRequest::EndUnplaced(const char* reason) {
   if (policy_.WithoutRetry() == NextStep::kFail) {
     Fail(kStatusBadGateway, "no room for a repeat");
@@ -112,6 +219,15 @@
 
 bool ForwardedRequest::TryPlace() {
   const Instant now = EventLoop::Now();
+  if (gateway_.cut_off()) {
+    // It was queued before this host was cut off.
+    if (ticket_ != 0) {
+      gateway_.Dequeue(std::exchange(ticket_, 0));
+      queue_timer_.Cancel();
+    }
+    Detour();
+    return true;
+  }
   if (EndQuarantined()) {
     return false;
   }
@@ -175,7 +291,8 @@
   // A timer or the caller may end the request while the call is in flight, so
   // the call holds no strong reference to it.
   call_ = gateway_.client_.Send(
-      {target.id, target.address, target.port}, MakeHead(target.id),
+      {target.id, target.address, target.port},
+      MakeHead({gateway_.options_.names.target_server, target.id}),
       exchange_->body(), id_,
       [self = weak_from_this()](const CallResult& result) {
         if (const auto request = self.lock()) {
@@ -184,7 +301,7 @@
       });
 }
 
-std::string ForwardedRequest::MakeHead(const std::string& server_id) const {
+std::string ForwardedRequest::MakeHead(const HeaderField& target) const {
   const HeaderNames& names = gateway_.options_.names;
   const HttpHead& head = exchange_->head();
   const std::string* connection = head.Find("Connection");
@@ -192,7 +309,8 @@
   for (const HeaderField& field : head.fields) {
     if (IsHopByHopField(field.name, connection) ||
         SameName(field.name, names.time_left) ||
-        SameName(field.name, names.target_server)) {
+        SameName(field.name, names.target_server) ||
+        SameName(field.name, names.detour)) {
       continue;
     }
     text += field.name + ": " + field.value + "\r\n";
@@ -201,7 +319,7 @@
   text += names.time_left + ": " +
           std::to_string(std::max<std::int64_t>(1, Milliseconds(left))) +
           "\r\n";
-  text += names.target_server + ": " + server_id + "\r\n";
+  text += target.name + ": " + target.value + "\r\n";
   if (!exchange_->body().empty() || head.Find("Content-Length") != nullptr ||
       head.Find("Transfer-Encoding") != nullptr) {
     text +=
@@ -308,7 +426,12 @@
   heathersteer::ServerHealth& health = server_->health;
   if (result.outcome != CallOutcome::kAnswered) {
     ++gateway_.counters_.broken_sends;
-    health.RecordFailure(now);
+    if (!result.unreachable || !gateway_.cut_off()) {
+      health.RecordFailure(now);
+    }
+    if (result.unreachable) {
+      gateway_.OnServerUnreachable(server_->server.id);
+    }
     spdlog::info(
         "request id={} broken at {} after {} ms: {}; suspended={} "
         "fingerprint={:016x}",
@@ -396,7 +519,6 @@
 }
 
 void ForwardedRequest::Deliver(const CallResult& result) {
-  const std::string* connection = result.head.Find("Connection");
   HttpResponse response = HttpResponse::Of(result.head.status, result.body);
   const bool changed = StatesNotRun(response.status);
   if (changed) {
@@ -404,16 +526,23 @@
     // on, nor is the signature that covers it.
     response.status = kStatusBadGateway;
   }
-  for (const HeaderField& field : result.head.fields) {
-    const bool drop =
-        IsHopByHopField(field.name, connection) ||
-        (changed && SameName(field.name, gateway_.options_.names.signature));
-    if (!drop) {
+  DeliverResponse(std::move(response), result.head,
+                  changed ? gateway_.options_.names.signature : "");
+}
+
+void ForwardedRequest::DeliverResponse(HttpResponse response,
+                                       const HttpHead& head,
+                                       const std::string& dropped_field) {
+  const std::string* connection = head.Find("Connection");
+  for (const HeaderField& field : head.fields) {
+    if (!IsHopByHopField(field.name, connection) &&
+        !SameName(field.name, dropped_field) &&
+        !SameName(field.name, gateway_.options_.names.detour)) {
       response.fields.push_back(field);
     }
   }
   heathersteer::OverloadThrottle& throttle = gateway_.Throttle(route_.name);
-  if (result.head.status == kStatusGatewayTimeout) {
+  if (head.status == kStatusGatewayTimeout) {
     throttle.RecordTimeout(EventLoop::Now());
   } else {
     throttle.RecordServed(EventLoop::Now());
@@ -439,6 +568,10 @@
     Reject("deadline passed before it was sent");
     return;
   }
+  if (sent && server_ == nullptr && call_->received_bytes() == 0) {
+    gateway_.detour_hosts_.RecordUnavailable(detour_hosts_.back(),
+                                             EventLoop::Now());
+  }
   if (sent) {
     gateway_.Throttle(route_.name).RecordTimeout(EventLoop::Now());
   }
@@ -471,6 +604,9 @@
     return;
   }
   ended_ = true;
+  if (detoured_) {
+    --gateway_.detoured_active_;
+  }
   deadline_timer_.Cancel();
   queue_timer_.Cancel();
   if (ticket_ != 0) {
@@ -518,9 +654,10 @@
   }
   spdlog::info(
       "request id={} route={} rank={} status={} reason=\"{}\" sends={} "
-      "servers={} took_ms={} left_ms={} config={}",
+      "servers={} detours={} took_ms={} left_ms={} config={}",
       id_, route_.name, route_.rank, status, reason, sends,
-      fmt::join(servers, ","), Milliseconds(now - exchange_->received()),
+      fmt::join(servers, ","), fmt::join(detour_hosts_, ","),
+      Milliseconds(now - exchange_->received()),
       Milliseconds(caller_deadline_ - now), config_->version);
 }
 
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -12,6 +12,7 @@
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
 #include "heathersteer/attempt_policy.h"
+#include "heathersteer/host_registration.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/server_state.h"
 #include "heathersteer/traffic_config.h"
@@ -43,10 +44,15 @@
 
  private:
   void Place();
+  // Passes the request on to another host, which reaches the servers.
+  void Detour();
+  void SendDetour(const heathersteer::HostRegistration& host);
+  void OnDetourDone(const std::string& host, const CallResult& result);
+  void DeliverDetour(const CallResult& result);
   // Ends the request, for which no server was found.
   void EndUnplaced(const char* reason);
   void Send(std::shared_ptr<heathersteer::ServerState> server);
-  std::string MakeHead(const std::string& server_id) const;
+  std::string MakeHead(const HeaderField& target) const;
   void OnCallDone(const CallResult& result);
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
@@ -60,6 +66,10 @@
   void Proceed(heathersteer::NextStep step, const CallResult& result);
   void Retry(const CallResult& result);
   void Deliver(const CallResult& result);
+  // Passes on a response with the fields of `head` but `dropped_field`.
+  void DeliverResponse(HttpResponse response,
+                       const HttpHead& head,
+                       const std::string& dropped_field);
   void Reject(const char* reason);
   void Fail(int status, const char* reason);
   void OnDeadline();
@@ -92,6 +102,10 @@
   std::shared_ptr<heathersteer::ServerState> server_;
   heatherlever::Instant sent_at_{0};
   std::vector<std::string> tried_;
+  // Whether another host has passed the request on.
+  const bool detoured_;
+  // Hosts to which the request was passed on.
+  std::vector<std::string> detour_hosts_;
   // Result of the last placement attempt that found no free capacity.
   heathersteer::PlacementChoice last_choice_;
   // Whether the shift limiter has counted this request's demand.
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -10,7 +10,10 @@
 #include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/rejection.h"
+#include "heathersteer/server_state.h"
 #include "heathersteer/traffic_config.h"
+#include "libheathergate/connection_trial.h"
+#include "libheathergate/detour_field.h"
 #include "libheathergate/forwarded_request.h"
 #include "libheathergate/startup_queue.h"
 #include "libheathergate/time_left.h"
@@ -27,6 +30,10 @@
 // arrives.
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 
+// Time for a round of trial connections.
+constexpr Duration kTrialTimeout = std::chrono::milliseconds(300);
+constexpr Duration kTrialTick = std::chrono::milliseconds(50);
+
 HttpClientOptions ClientOptions(const GatewayOptions& options) {
   HttpClientOptions client;
   client.echo_header = options.names.request_id;
@@ -41,6 +48,8 @@
       client_(loop, ClientOptions(options_)),
       placement_(options_.placement),
       shift_limiter_(options_.max_shift_change),
+      trial_(std::make_unique<ConnectionTrial>(loop)),
+      trial_timer_(loop),
       random_(options_.seed),
       startup_queue_(std::make_unique<StartupQueue>(
           loop,
@@ -54,7 +63,10 @@
 
 void Gateway::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   ++counters_.requests;
-  if (!accepting_) {
+  const bool detoured = exchange->head().Find(options_.names.detour) != nullptr;
+  if (detoured && !MayTakeDetoured(*exchange)) {
+    RejectDetoured(exchange);
+  } else if (!accepting_) {
     // Other hosts can serve it at once.
     Reject(exchange, RejectionFor(Duration(0)), "the host is stopping");
   } else if (started_) {
@@ -133,6 +145,116 @@
   Reject(exchange, Rejection(left), "no configuration is known yet");
 }
 
+bool Gateway::MayTakeDetoured(const HttpExchange& exchange) const {
+  const auto detour =
+      DetourField::Parse(exchange.head().Value(options_.names.detour));
+  // An older configuration may name other services and homes.
+  return accepting_ && started_ && !cut_off() &&
+         detoured_active_ < options_.max_detoured && detour &&
+         config_->version >= detour->config_version;
+}
+
+HttpResponse Gateway::DetourRejection() {
+  HttpResponse response = RejectionFor(Duration(0));
+  response.fields.push_back({options_.names.detour, "unavailable"});
+  return response;
+}
+
+void Gateway::RejectDetoured(const std::shared_ptr<HttpExchange>& exchange) {
+  spdlog::info("request id={} of another host rejected: cut_off={} active={}",
+               exchange->head().Value(options_.names.request_id), cut_off(),
+               detoured_active_);
+  exchange->Respond(DetourRejection());
+}
+
+void Gateway::OnServerUnreachable(const std::string& server_id) {
+  reachability_.RecordUnreachable(server_id, EventLoop::Now());
+  TryServers();
+}
+
+// Servers of several domains are tried first, as a whole domain may have
+// failed; those that did not respond lately come last.
+void Gateway::TryServers() {
+  if (trial_->running() || !reachability_.ShouldTry(EventLoop::Now())) {
+    return;
+  }
+  const std::vector<std::string> failed = reachability_.unreachable();
+  struct Candidate {
+    double rank = 0;
+    const heathersteer::BackendServer* server = nullptr;
+  };
+  std::vector<Candidate> ranked;
+  std::map<std::string, int> tried_in_domain;
+  for (const auto& [id, state] : servers_.by_id()) {
+    const bool has_failed =
+        std::find(failed.begin(), failed.end(), id) != failed.end();
+    ranked.push_back({Random() + (has_failed ? 1 : 0), &state->server});
+  }
+  std::sort(
+      ranked.begin(), ranked.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+  const std::size_t count = reachability_.TrialCount();
+  std::vector<std::string> ids;
+  std::vector<HttpPeer> peers;
+  for (int per_domain = 1; peers.size() < std::min(count, ranked.size());
+       ++per_domain) {
+    for (Candidate& candidate : ranked) {
+      if (candidate.server == nullptr || peers.size() == count) {
+        continue;
+      }
+      const heathersteer::BackendServer& server = *candidate.server;
+      int& tried = tried_in_domain[server.domain];
+      if (tried < per_domain) {
+        ++tried;
+        ids.push_back(server.id);
+        peers.push_back({server.id, server.address, server.port});
+        candidate.server = nullptr;
+      }
+    }
+  }
+  if (peers.empty()) {
+    return;
+  }
+  trial_->Start(peers, kTrialTimeout, [this, ids](bool any_connected) {
+    OnTrialDone(ids, any_connected);
+  });
+}
+
+void Gateway::OnTrialDone(const std::vector<std::string>& server_ids,
+                          bool any_connected) {
+  const std::vector<std::string> failed = reachability_.unreachable();
+  const bool changed =
+      reachability_.RecordTrials(server_ids, any_connected, EventLoop::Now());
+  ScheduleTrial();
+  if (!changed) {
+    return;
+  }
+  if (cut_off()) {
+    spdlog::warn("no backend server is reachable; failed: {}",
+                 fmt::join(failed, ","));
+  } else {
+    spdlog::info("backend servers are reachable again");
+    // The failures were this host's own.
+    for (const std::string& id : failed) {
+      if (const auto state = servers_.Find(id)) {
+        state->health.Reinstate();
+      }
+    }
+  }
+  on_cut_off_changed_();
+  RetryQueued();
+}
+
+void Gateway::ScheduleTrial() {
+  const heatherlever::Instant now = EventLoop::Now();
+  if (cut_off() || reachability_.ShouldTry(now)) {
+    trial_timer_.Start(cut_off() ? kTrialTick : Duration(0), [this] {
+      TryServers();
+      ScheduleTrial();
+    });
+  }
+}
+
 void Gateway::Reject(const std::shared_ptr<HttpExchange>& exchange,
                      HttpResponse response,
                      const char* reason) {
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -48,6 +48,7 @@
   connect_timer_.Start(client_.options_.connect_timeout,
                        [self = weak_from_this()] {
                          if (const auto connection = self.lock()) {
+                           connection->unreachable_ = true;
                            connection->Fail("connecting took too long");
                          }
                        });
@@ -64,6 +65,7 @@
   }
   connect_timer_.Cancel();
   if (error) {
+    unreachable_ = true;
     Fail("cannot connect: " + error.message());
     return;
   }
@@ -98,6 +100,7 @@
       [self = shared_from_this()](std::error_code error, std::size_t) {
         self->writing_ = false;
         if (error && !self->closed_) {
+          self->unreachable_ = error == asio::error::timed_out;
           self->Fail("write failed: " + error.message());
         }
       });
@@ -187,7 +190,9 @@
     Succeed();
     return;
   }
-  ended_by_peer_ = true;
+  // The acknowledgement of sent bytes did not come in time.
+  unreachable_ = error == asio::error::timed_out;
+  ended_by_peer_ = !unreachable_;
   Fail("the connection ended: " + error.message());
 }
 
@@ -229,6 +234,7 @@
   CallResult result;
   result.outcome = call->sent_ ? CallOutcome::kBroken : CallOutcome::kNotSent;
   result.ended_by_peer = ended_by_peer_;
+  result.unreachable = unreachable_;
   result.error = error;
   call->Finish(std::move(result));
 }
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -71,6 +71,7 @@
   // Whether input has arrived that belongs to no request.
   bool unexpected_input_ = false;
   bool ended_by_peer_ = false;
+  bool unreachable_ = false;
   heatherlever::Instant idle_since_{0};
   heatherlever::Duration idle_timeout_{0};
 };
--- a/src/libheathergate/metrics_text.cc
+++ b/src/libheathergate/metrics_text.cc
@@ -14,7 +14,7 @@
   std::uint64_t GatewayCounters::*value;
 };
 
-constexpr std::array<Counter, 13> kCounters = {{
+constexpr std::array<Counter, 15> kCounters = {{
     {"heather_requests_total", &GatewayCounters::requests},
     {"heather_delivered_total", &GatewayCounters::delivered},
     {"heather_rejected_total", &GatewayCounters::rejected},
@@ -28,6 +28,8 @@
     {"heather_throttled_total", &GatewayCounters::throttled},
     {"heather_quarantined_total", &GatewayCounters::quarantined},
     {"heather_limited_sends_total", &GatewayCounters::limited_sends},
+    {"heather_detours_total", &GatewayCounters::detours},
+    {"heather_detoured_total", &GatewayCounters::detoured},
 }};
 
 void WriteHistogram(std::ostringstream& text,
@@ -58,6 +60,8 @@
   text << "heather_requests_active " << gateway.active() << "\n";
   text << "# TYPE heather_backend_servers gauge\n";
   text << "heather_backend_servers " << gateway.servers().size() << "\n";
+  text << "# TYPE heather_servers_reachable gauge\n";
+  text << "heather_servers_reachable " << (gateway.cut_off() ? 0 : 1) << "\n";
   text << "# TYPE heather_limited_servers gauge\n";
   text << "heather_limited_servers " << gateway.limited_servers() << "\n";
   text << "# TYPE heather_quarantined_requests gauge\n";
--- a/src/libheathersteer/server_health.cc
+++ b/src/libheathersteer/server_health.cc
@@ -51,4 +51,10 @@
   probation_until_ = suspended_until_ + kProbation;
 }
 
+void ServerHealth::Reinstate() {
+  consecutive_failures_ = 0;
+  suspended_until_ = Instant(0);
+  probation_until_ = Instant(0);
+}
+
 }  // namespace heathersteer
