--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -3,6 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -105,11 +107,12 @@
                config->version, config->routes.size(), config->services.size(),
                config_ == nullptr ? 0 : config_->version);
   config_ = std::move(config);
-  std::erase_if(throttles_, [this](const auto& throttle) {
-    return std::none_of(config_->routes.begin(), config_->routes.end(),
-                        [&](const heathersteer::Route& route) {
-                          return route.name == throttle.first;
-                        });
+  std::set<std::string_view> names;
+  for (const heathersteer::Route& route : config_->routes) {
+    names.insert(route.name);
+  }
+  std::erase_if(throttles_, [&](const auto& throttle) {
+    return !names.contains(throttle.first);
   });
   routes_ = std::make_shared<heathersteer::RouteTable>(*config_);
   ForwardStartupQueue();
