--- a/src/include/heathersteer/route.h
+++ b/src/include/heathersteer/route.h
@@ -12,6 +12,8 @@
 struct WeightedService {
   std::string service;
   double weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
 };
 
 /// Services and limits for the requests of one host name and path prefix.
@@ -37,6 +39,8 @@
   bool sticky = false;
   /// Regions in which requests may run; empty for all.
   std::vector<std::string> home_regions;
+
+  bool operator==(const Route&) const = default;
 };
 
 }  // namespace heathersteer
--- a/src/include/heathersteer/service.h
+++ b/src/include/heathersteer/service.h
@@ -16,6 +16,8 @@
   heatherlever::Duration cold_start{0};
   /// Requests per second that a cold backend server can take.
   double cold_requests_per_s = 0;
+
+  bool operator==(const Service&) const = default;
 };
 
 }  // namespace heathersteer
--- a/src/include/heathersteer/traffic_config.h
+++ b/src/include/heathersteer/traffic_config.h
@@ -21,6 +21,8 @@
   heatherlever::Duration header_timeout = std::chrono::seconds(3);
   /// Time after which an idle connection is closed.
   heatherlever::Duration idle_timeout = std::chrono::seconds(15);
+
+  bool operator==(const CallerLimits&) const = default;
 };
 
 /// One version of the operator's configuration, checked: every service that a
@@ -30,6 +32,8 @@
   std::vector<Route> routes;
   std::map<std::string, Service> services;
   CallerLimits limits;
+
+  bool operator==(const TrafficConfig&) const = default;
 };
 
 }  // namespace heathersteer
