Don't send requests whose callers have left meanwhile

Cause: after the event loop was blocked, a request and the end of its connection are both in the kernel. The request is read and placed before the end is read. A waiting request is placed as well, if a server's response is handled before the end of the caller's connection.

Change: once a server is chosen, the connection is checked with poll() (POLLRDHUP), which shows an end or a reset even behind unread input, so a pipelined request is not taken for an end. It is one system call for each time that a request is sent.

--- a/src/include/heathergate/http_exchange.h
+++ b/src/include/heathergate/http_exchange.h
@@ -43,6 +43,16 @@
   /// Called by the connection when the client has disconnected.
   void Abandon();
 
+  /// Sets a function that calls Abandon() if the client has disconnected and
+  /// the event loop has not handled that yet.
+  void SetClientCheck(std::function<void()> check) {
+    check_client_ = std::move(check);
+  }
+
+  /// Returns whether a response is still expected. Finds a disconnected client
+  /// at once, with a system call.
+  bool CheckClient();
+
   bool done() const { return done_; }
 
  private:
@@ -51,6 +61,7 @@
   heatherlever::Instant received_;
   Reply reply_;
   std::function<void()> on_abandoned_;
+  std::function<void()> check_client_;
   bool done_ = false;
 };
 
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -252,6 +252,11 @@
     last_choice_ = choice;
     return false;
   }
+  // After the event loop was blocked, the request may be handled before the end
+  // of its connection.
+  if (!exchange_->CheckClient()) {
+    return false;
+  }
   if (ticket_ != 0) {
     gateway_.Dequeue(std::exchange(ticket_, 0));
     queue_timer_.Cancel();
--- a/src/libheathergate/http_exchange.cc
+++ b/src/libheathergate/http_exchange.cc
@@ -25,4 +25,11 @@
   }
 }
 
+bool HttpExchange::CheckClient() {
+  if (!done_ && check_client_) {
+    check_client_();
+  }
+  return !done_;
+}
+
 }  // namespace heathergate
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -163,11 +163,22 @@
           session->Reply(response);
         }
       });
+  exchange_->SetClientCheck([self = weak_from_this()] {
+    if (const auto session = self.lock()) {
+      session->CheckPeer();
+    }
+  });
   reader_.Reset();
   continue_sent_ = false;
   owner_.Handle(exchange_);
 }
 
+void HttpSession::CheckPeer() {
+  if (!closed_ && EndedByPeer(socket_)) {
+    Close();
+  }
+}
+
 void HttpSession::Reject(int status) {
   HttpResponse response = HttpResponse::Of(status);
   response.close = true;
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -44,6 +44,7 @@
   void Parse();
   void OnReadEnd(std::error_code error);
   void Dispatch();
+  void CheckPeer();
   void Reject(int status);
   void Reply(const HttpResponse& response);
   void Write(const HttpResponse& response);
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -1,6 +1,7 @@
 #include "libheathergate/socket_options.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -33,6 +34,12 @@
   return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool EndedByPeer(asio::ip::tcp::socket& socket) {
+  // POLLERR and POLLHUP are reported without being requested.
+  pollfd entry{.fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+  return poll(&entry, 1, 0) > 0;
+}
+
 SocketInput ReadAvailable(asio::ip::tcp::socket& socket) {
   static std::array<char, kReadBufferBytes> buffer;
   SocketInput input;
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -19,6 +19,10 @@
 /// input.
 bool HasPendingInput(asio::ip::tcp::socket& socket);
 
+/// Whether the peer has closed or reset the connection, even if there is input
+/// that was sent before and is not read yet.
+bool EndedByPeer(asio::ip::tcp::socket& socket);
+
 /// Result of one read. `data` points into a buffer that all connections share
 /// and is valid until the next read.
 struct SocketInput {
