--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -138,7 +138,9 @@
           : gateway_.detour_hosts_.Choose(route_.home_regions, detour_hosts_,
                                           EventLoop::Now());
   if (host != nullptr) {
-    SendDetour(*host);
+    if (exchange_->CheckClient()) {
+      SendDetour(*host);
+    }
   } else if (detoured_ && !policy_.may_have_run()) {
     Finish(gateway_.DetourRejection(), "no backend server is reachable");
   } else {
