--- /dev/null
+++ b/testsuite/gateway/detour_test.py
@@ -0,0 +1,123 @@
+import signal
+import threading
+import time
+import unittest
+
+from gateway_harness import config, route
+from standins import DEADLINE, REQUEST_ID
+from unreachable_harness import DEADLINE_MS, NOTICE_S, UNREACHABLE, UnreachableTestCase
+
+# Followers read the registrations for the last time this long after their start.
+SECOND_READ_S = 2.5
+
+
+class DetourTest(UnreachableTestCase):
+    """Requests that a host cut off from all servers passed on to another one ended otherwise than at that one."""
+
+    def test_request_is_not_handled_by_an_older_configuration(self):
+        links = self.cut_links()
+        ports = self.store.open_port(links.addresses), self.store.open_port()
+        first = self.started_host("h1", store_port=ports[0], domain="d-a")
+        second = self.started_host("h2", store_port=ports[1], domain="d-b")
+        for host in (first, second):
+            self.await_servers(host)
+            host.await_log("2 hosts are registered")
+        self.cut_off(first, links)
+        self.await_status(first, 200)
+        before, row_at = self.store.rows[("op", "config")][0], self.store.row_at
+        self.store.row_at = lambda port, row: (
+            {**row, "value": before} if port == ports[1] and row["key"] == "config" else row_at(port, row))
+        self.store.put("op", "config", config(2, added=route(prefix="/n/")))
+        first.await_log("configuration 2 in force")
+        # Hosts that have the route at all know that it can't be served.
+        self.assertEqual(self.send(first, "/n/1", "added")[0], 503)
+
+    def test_request_with_a_head_of_the_maximum_size_is_served(self):
+        def send(pad):
+            connection = host.connect()
+            connection.request("GET", "/x/1", headers={
+                REQUEST_ID: f"pad-{pad}", DEADLINE: str(DEADLINE_MS), "Host": "a.example", "X-Pad": "p" * pad})
+            status = connection.getresponse().status
+            connection.close()
+            return status
+
+        (host, links), _ = self.started_hosts("d-a", "e-a")
+        limit = config()["limits"]["maxHeaderBytes"]
+        pad = next(pad for pad in range(limit, 0, -1) if len(f"GET /x/1 HTTP/1.1\r\nAccept-Encoding: identity\r\n"
+                   f"{REQUEST_ID}: pad-{pad}\r\n{DEADLINE}: {DEADLINE_MS}\r\nHost: a.example\r\nX-Pad: \r\n\r\n") + pad <= limit)
+        self.assertEqual(send(pad), 200)
+        self.cut_off(host, links)
+        self.await_status(host, 200)
+        self.assertEqual(send(pad), 200)
+
+    def test_follower_knows_a_host_that_registered_later(self):
+        links = self.cut_links()
+        port = self.store.open_port(links.addresses)
+        relay = self.started_host("h1", store_port=port)
+        relay.await_log("registered as h1")
+        follower = self.started_host("h2", store_port=port)
+        follower.await_log("news come from h1")
+        time.sleep(SECOND_READ_S)
+        late = self.started_host("h3", domain="e-a")
+        self.await_servers(late)
+        self.cut_off(follower, links)
+        self.await_status(follower, 200)
+
+    def test_paused_host_is_left_out(self):
+        (host, links), (paused, _), _ = self.started_hosts("d-a", "e-a", "e-a")
+        self.cut_off(host, links)
+        self.await_status(host, 200)
+        paused.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(paused.process.send_signal, signal.SIGCONT)
+        statuses = [host.request("/x/1", request_id=f"p-{n}", deadline_ms=700)[0] for n in range(4)]
+        self.assertLessEqual(sum(status != 200 for status in statuses), 1, statuses)
+
+    def test_request_reaches_no_more_servers_than_its_route_allows(self):
+        (host, links), (first, _), (second, _) = self.started_hosts("d-a", "e-a", "e-a")
+        self.cut_off(host, links)
+        self.await_status(host, 200)
+        reached = []
+        lock = threading.Lock()
+
+        def run(backend, request):
+            if request[1].get(REQUEST_ID.lower()) != "counted":
+                return self.respond_slowly(backend, request)
+            with lock:
+                reached.append(backend.name)
+                if len(reached) != 2:
+                    return None
+            for other in (first, second):
+                if other.metric("heather_requests_active") > 0:
+                    other.process.kill()
+            return None
+
+        for backend in self.backends:
+            backend.behave = lambda request, connection, backend=backend: run(backend, request)
+        host.request("/x/1", request_id="counted", deadline_ms=4000)
+        self.assertLessEqual(len(reached), 2)
+
+    def test_request_at_several_servers_is_served_after_a_cut_that_resets_connections(self):
+        def send(number):
+            results.append(host.request("/w/same", "POST", b"one", request_id=f"same-{number}", key=None,
+                                        deadline_ms=DEADLINE_MS)[0])
+
+        results = []
+        (host, links), (other, _) = self.started_hosts("d-a", "e-a")
+        threads = [threading.Thread(target=send, args=(number,)) for number in range(12)]
+        for thread in threads:
+            thread.start()
+        for number in range(12):
+            self.await_seen(f"same-{number}")
+        links.refuse_and_reset()
+        for thread in threads:
+            thread.join()
+        self.send_groups(host)
+        host.await_log(UNREACHABLE, NOTICE_S)
+        links.heal()
+        self.await_status(host, 200)
+        for each in (other, host):
+            self.assertEqual(each.request("/w/same", "POST", b"one", request_id="again", key=None)[0], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
