--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -228,7 +228,12 @@
   const std::vector<std::string> failed = reachability_.unreachable();
   const bool changed =
       reachability_.RecordTrials(server_ids, any_connected, EventLoop::Now());
-  ScheduleTrial();
+  if (cut_off()) {
+    ScheduleTrial();
+  } else {
+    // A second round follows a first one that failed.
+    TryServers();
+  }
   if (!changed) {
     return;
   }
@@ -249,13 +254,12 @@
 }
 
 void Gateway::ScheduleTrial() {
-  const heatherlever::Instant now = EventLoop::Now();
-  if (cut_off() || reachability_.ShouldTry(now)) {
-    trial_timer_.Start(cut_off() ? kTrialTick : Duration(0), [this] {
-      TryServers();
+  trial_timer_.Start(kTrialTick, [this] {
+    TryServers();
+    if (cut_off()) {
       ScheduleTrial();
-    });
-  }
+    }
+  });
 }
 
 void Gateway::Reject(const std::shared_ptr<HttpExchange>& exchange,
