--- a/src/heatherctl/request_trace.cc
+++ b/src/heatherctl/request_trace.cc
@@ -30,9 +30,12 @@
     ReasonMeaning{"servers at their rate limits",
                   "every usable server states a rate limit and this host's "
                   "part of each is used up; it has not run"},
+    ReasonMeaning{"no backend server is reachable",
+                  "this host is cut off from all servers, and none of the "
+                  "hosts in detours took the request; it has not run"},
     ReasonMeaning{"outcome unknown",
-                  "the exchange with the last server broke after the request "
-                  "was sent: it may have run"},
+                  "the exchange with the last server, or with the last host in "
+                  "detours, broke after the request was sent: it may have run"},
     ReasonMeaning{"deadline passed",
                   "the last server held it until the time was up"},
     ReasonMeaning{"deadline passed before it was sent",
