--- a/review/rig.py
+++ b/review/rig.py
@@ -257,7 +257,7 @@
             self.runs.append((self.record.now(), request_id))
             self.record(f"backend {self.name} ({self.service}) runs {request_id}: {first}")
             if self.behave is None or not await self.behave(self, request, writer):
-                await asyncio.sleep(self.work_s)
+                await asyncio.sleep(self.work_s * max(0.1, random.gauss(1, 0.15)))
                 await self.write(writer, "200 OK", request_id, f"{SEAL}: 3e1b.{self.name}.600\r\n", b"x" * 600)
         finally:
             self.running -= 1
