--- a/review/rig.py
+++ b/review/rig.py
@@ -35,6 +35,8 @@
 CONTACT_S = 3.0
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
+# Time after which a backend closes a connection that rests.
+IDLE_S = 10
 
 
 class Unfit(Exception):
@@ -88,9 +90,9 @@
     raise Unfit("no free ports")
 
 
-async def read_message(reader):
-    """Returns (first line, fields by lower-case name, body), or None at the end."""
-    head = await reader.readuntil(b"\r\n\r\n")
+async def read_message(reader, first=b""):
+    """Returns (first line, fields by lower-case name, body). `first` is the first line if it has been read."""
+    head = first + await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     fields = {}
     for line in lines[1:]:
@@ -230,9 +232,12 @@
     async def serve(self, reader, writer):
         try:
             while True:
-                request = await read_message(reader)
+                # Connections that rest are closed.
+                async with asyncio.timeout(IDLE_S):
+                    line = await reader.readuntil(b"\r\n")
+                request = await read_message(reader, line)
                 await self.handle(request, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
@@ -376,6 +381,46 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
 
 
+class Platform:
+    """Kills processes that exceed memoryMb, and restarts those that have ended after a short delay."""
+
+    def __init__(self, case):
+        self.record, self.machines = case.record, case.machines
+        self.peak = 0
+        self.over = False
+        self.watcher = case.loop.start(self.watch())
+
+    async def watch(self):
+        while not self.over:
+            for machine in self.machines:
+                if machine.process.poll() is not None:
+                    self.record(f"the process on {machine.name} has ended by itself: {machine.process.returncode}")
+                    machine.ended += 1
+                    await asyncio.sleep(0.5)
+                    machine.start()
+                    continue
+                resident = machine.memory_bytes()
+                self.peak = max(self.peak, resident)
+                if resident > machine.settings["limits"]["memoryMb"] << 20:
+                    self.record(f"the process on {machine.name} exceeds memoryMb: {resident >> 20} MB; it is killed")
+                    machine.signal(signal.SIGKILL)
+                    machine.process.wait()
+            await asyncio.sleep(0.01)
+
+    def breaches(self):
+        """Ends the watch. The Fault rule: a tenth of the machines, two at least, whose processes end three times."""
+        self.over = True
+        self.watcher.result(5)
+        ends = ", ".join(f"{machine.name} {machine.ended}" for machine in self.machines)
+        self.record(f"most memory {self.peak >> 20} MB; processes that ended: {ends}")
+        print(f"most memory {self.peak >> 20} MB; processes that ended: {ends}")
+        bad = [machine for machine in self.machines if machine.ended >= 3]
+        if len(bad) < max(2, len(self.machines) / 10):
+            return []
+        return [f"Fault: the process on {machine.name} ended by itself {machine.ended} times, with no disturbance there"
+                for machine in bad]
+
+
 def main(folder, case_function):
     """Runs `case_function(case)`, which returns a list of breaches. Exits with 1 if there are any, 2 if it can't run."""
     status = 2
