--- a/review/rig.py
+++ b/review/rig.py
@@ -116,6 +116,7 @@
         self.version = 0
         self.begin = time.monotonic()
         self.changed = loop.run(self.make_event())
+        self.down = False
         self.on_request = None
         self.server = loop.run(asyncio_server(self.serve, address))
         self.address = "%s:%d" % self.server.sockets[0].getsockname()
@@ -142,6 +143,14 @@
         event, self.changed = self.changed, asyncio.Event()
         event.set()
 
+    def set_down(self, down):
+        """Answers 503 to all calls while it is down, also to those that wait."""
+        async def change():
+            self.down = down
+            event, self.changed = self.changed, asyncio.Event()
+            event.set()
+        self.loop.run(change())
+
     def list(self, table, after):
         rows = [{"table": table, "part": "", "key": key, "value": value, "objectVersion": version}
                 for (of, key), (value, version) in sorted(self.rows.items()) if of == table and version > after]
@@ -159,7 +168,7 @@
                 query = dict(part.partition("=")[::2] for part in query_text.split("&") if part)
                 if self.on_request:
                     self.on_request(path, query, writer.get_extra_info("peername"))
-                status, answer = await self.answer(path, query, body)
+                status, answer = (503, {}) if self.down else await self.answer(path, query, body)
                 text = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 0\r\n"
                              f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
@@ -177,7 +186,7 @@
         elif path == "/heatherlever/rows-feed":
             after = int(query["after"])
             end = time.monotonic() + int(query["waitMs"]) / 1000
-            while not (rows := self.list(query["table"], after)) and time.monotonic() < end:
+            while not (rows := self.list(query["table"], after)) and time.monotonic() < end and not self.down:
                 try:
                     await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
                 except asyncio.TimeoutError:
@@ -193,6 +202,8 @@
                              [(row["table"], row["key"]) for row in call.get("deletes", [])])
         else:
             return 404, {}
+        if self.down:
+            return 503, {}
         now = int((time.monotonic() - self.begin) * 1000)
         return 200, {"rows": rows, "hasMore": False, "objectVersion": self.version, "now": f"{now}ms"}
 
@@ -213,6 +224,7 @@
         self.extra = ""
         self.running = self.waiting = 0
         self.runs = []
+        self.writers = set()
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self.sequence = 1
@@ -230,6 +242,7 @@
                 "born": self.born, **more}
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 # Connections that rest are closed.
@@ -240,6 +253,7 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(self, request, writer):
@@ -268,6 +282,14 @@
             self.running -= 1
             self.free.release()
 
+    def exit(self):
+        """Ends the backend: its connections are reset, and nothing listens any more."""
+        async def close():
+            self.server.close()
+            for writer in list(self.writers):
+                writer.transport.abort()
+        self.loop.run(close())
+
     async def write(self, writer, status, request_id, fields, body=b""):
         writer.write((f"HTTP/1.1 {status}\r\n{REQUEST_ID}: {request_id}\r\n{fields}{self.extra}"
                       f"{LOAD}: {self.running},{self.waiting},{self.slots}\r\n"
