--- a/review/rig.py
+++ b/review/rig.py
@@ -214,8 +214,8 @@
 
 class Backend:
     """A backend server: `slots` requests at a time, a queue of three a slot, 503 with Not-Executed beyond.
-    `behave(backend, request, writer)`, if set, may answer in place of it and returns whether it did; with
-    `silent_on(request)` the request runs and isn't answered."""
+    `behave(backend, request, writer)`, if set, may answer in place of it and returns whether it did. `extra` holds more
+    fields for all answers."""
 
     def __init__(self, loop, record, name, service, zone, slots, work_s, address="127.0.0.1"):
         self.loop, self.record, self.name, self.service, self.zone = loop, record, name, service, zone
@@ -447,6 +447,12 @@
     """Runs `case_function(case)`, which returns a list of breaches. Exits with 1 if there are any, 2 if it can't run."""
     status = 2
     case = None
+
+    def on_stop(number, frame):
+        raise Unfit("out of time, or stopped")
+
+    signal.signal(signal.SIGTERM, on_stop)
+    signal.signal(signal.SIGINT, on_stop)
     try:
         case = Case(folder)
         breaches = case_function(case)
