Start hosts whose addresses are taken

Callers saw no service: a host of which one address was taken when it started ended ("bind: Address already in use", exit 1), again at each restart. The metrics port, which no caller needs, was enough.

Cause: each server bound its address in its constructor, and an exception there ended the process. The same for a predecessor in its grace and for the source port of another process's connection.

Now a server that can't listen tries again every 0.1 s.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -97,6 +97,9 @@
   /// Whether this host accepts requests; the other hosts list it if so.
   void set_ready(bool ready);
 
+  /// The server at this host's relay address.
+  const HttpServer& relay_server() const { return server_; }
+
   /// Number of requests for updates that were sent to followed hosts.
   std::uint64_t relay_requests() const { return relay_requests_; }
 
@@ -107,6 +110,8 @@
  private:
   struct PendingRequest;
 
+  // Registers with the port at which the relay server listens.
+  void RegisterRelay();
   void Register();
   void ReadHosts();
   void OnHostsRead(
--- a/src/include/heathergate/fleet_options.h
+++ b/src/include/heathergate/fleet_options.h
@@ -2,6 +2,7 @@
 #define HEATHERGATE_FLEET_OPTIONS_H_
 
 #include <chrono>
+#include <cstdint>
 
 #include "heatherlever/instant.h"
 
@@ -11,6 +12,9 @@
 struct FleetOptions {
   /// Maximum time from a change in the store until this host acts on it.
   heatherlever::Duration propagation_bound = std::chrono::seconds(2);
+  /// Last of the ports that the relay server may listen at; the first one is
+  /// in the host's registration.
+  std::uint16_t last_relay_port = 0;
 };
 
 }  // namespace heathergate
--- a/src/include/heathergate/http_server.h
+++ b/src/include/heathergate/http_server.h
@@ -15,17 +15,18 @@
 namespace heathergate {
 
 class HttpExchange;
+struct ListenAddress;
 
 /// An HTTP/1.1 server on one address, with persistent connections. If a client
-/// disconnects before its response, the exchange is told.
+/// disconnects before its response, the exchange is told. While the address is
+/// not available, the server tries to listen again and again.
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-  /// Starts to listen; throws std::system_error if the address can't be bound.
+  /// Throws std::system_error if the address is not an IP address.
   HttpServer(heathernet::EventLoop& loop,
-             const std::string& address,
-             std::uint16_t port,
+             const ListenAddress& address,
              Handler handler);
   ~HttpServer();
 
@@ -45,8 +46,18 @@
   /// Stops accepting connections.
   void StopListening();
 
+  /// Whether the address is bound and connections are accepted.
+  bool listening() const;
+
+  /// Sets a function that is called when the server listens, if it does not
+  /// yet.
+  void OnListening(std::function<void()> function);
+
+  /// The port that is bound; 0 while there is none.
   std::uint16_t port() const;
 
+  const std::string& purpose() const;
+
   /// Number of requests that are being read or handled.
   int active() const;
 
--- a/src/include/heathersteer/relay_order.h
+++ b/src/include/heathersteer/relay_order.h
@@ -38,6 +38,7 @@
   }
 
   const HostRegistration& self() const { return self_; }
+  void set_relay_port(std::uint16_t port) { self_.relay_port = port; }
   void set_registration_version(const StoreVersion& version) {
     self_.registration_version = version;
   }
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -9,6 +9,7 @@
 
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
+#include "heathergate/listen_address.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/milliseconds.h"
 #include "libheathergate/limit_exchange.h"
@@ -105,8 +106,10 @@
           loop,
           [this](const std::string& body) { OnSuspectsReply(body); })),
       server_(loop,
-              self.relay_address,
-              self.relay_port,
+              {.purpose = "relay",
+               .address = self.relay_address,
+               .port = self.relay_port,
+               .last_port = options.last_relay_port},
               [this](const std::shared_ptr<HttpExchange>& exchange) {
                 HandleRequest(exchange);
               }),
@@ -126,10 +129,22 @@
   // Callers may already be waiting: registering and choosing a host to follow
   // take several round trips, the first reads take one.
   reader_->EnsureReading();
-  Register();
+  if (server_.listening()) {
+    RegisterRelay();
+  } else {
+    // The registration names the port at which other hosts follow this one.
+    registering_ = true;
+    server_.OnListening([this] { RegisterRelay(); });
+    ReadHosts();
+  }
   Tick();
 }
 
+void FleetAgent::RegisterRelay() {
+  relay_order_.set_relay_port(server_.port());
+  Register();
+}
+
 void FleetAgent::Register() {
   registering_ = true;
   source_.Register(
--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -1,5 +1,8 @@
 #include "heathergate/http_server.h"
 
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstddef>
@@ -8,8 +11,10 @@
 #include <vector>
 
 #include "heathergate/http_exchange.h"
+#include "heathergate/listen_address.h"
 #include "heathergate/timer.h"
 #include "heathernet/event_loop.h"
+#include "heathersteer/milliseconds.h"
 #include "libheathergate/http_session.h"
 #include "libheathernet/event_loop_impl.h"
 
@@ -25,21 +30,52 @@
 // descriptors.
 constexpr heatherlever::Duration kAcceptRetryDelay =
     std::chrono::milliseconds(50);
+// Interval between tries to bind an address that is not available.
+constexpr heatherlever::Duration kListenRetryInterval =
+    std::chrono::milliseconds(100);
 
 }  // namespace
 
 class HttpServer::Impl : public SessionOwner,
                          public std::enable_shared_from_this<Impl> {
  public:
-  Impl(EventLoop& loop,
-       const std::string& address,
-       std::uint16_t port,
-       Handler handler)
+  Impl(EventLoop& loop, const ListenAddress& address, Handler handler)
       : loop_(loop),
-        acceptor_(loop.impl()->context,
-                  {asio::ip::make_address(address), port}),
+        purpose_(address.purpose),
+        first_(asio::ip::make_address(address.address), address.port),
+        last_port_(std::max(address.port, address.last_port)),
+        acceptor_(loop.impl()->context),
+        listen_retry_timer_(loop),
         accept_retry_timer_(loop),
-        handler_(std::move(handler)) {}
+        handler_(std::move(handler)),
+        created_at_(EventLoop::Now()) {}
+
+  // Another process may hold the address for a while: one that is about to end,
+  // or one whose outgoing connection got the port from the kernel.
+  void Listen() {
+    std::error_code error;
+    tcp::endpoint endpoint = first_;
+    for (int port = first_.port(); port <= last_port_; ++port) {
+      endpoint.port(static_cast<std::uint16_t>(port));
+      error = ListenAt(endpoint);
+      if (!error) {
+        break;
+      }
+    }
+    if (error) {
+      OnListenFailed(error);
+      return;
+    }
+    if (listen_failed_) {
+      spdlog::info("{}: listening at {}:{} after {} ms", purpose_,
+                   endpoint.address().to_string(), port(),
+                   heathersteer::Milliseconds(EventLoop::Now() - created_at_));
+    }
+    Accept();
+    if (const auto on_listening = std::exchange(on_listening_, nullptr)) {
+      on_listening();
+    }
+  }
 
   void Accept() {
     acceptor_.async_accept(
@@ -59,6 +95,7 @@
   void StopListening() {
     std::error_code ignored;  // NOLINT: closing twice is harmless.
     acceptor_.close(ignored);
+    listen_retry_timer_.Cancel();
     accept_retry_timer_.Cancel();
   }
 
@@ -80,7 +117,16 @@
     return count;
   }
 
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  bool listening() const { return acceptor_.is_open(); }
+  void set_on_listening(std::function<void()> function) {
+    on_listening_ = std::move(function);
+  }
+  std::uint16_t port() const {
+    std::error_code error;
+    const tcp::endpoint endpoint = acceptor_.local_endpoint(error);
+    return error ? std::uint16_t{0} : endpoint.port();
+  }
+  const std::string& purpose() const { return purpose_; }
   void set_limits(const heathersteer::CallerLimits& limits) {
     limits_ = limits;
   }
@@ -103,6 +149,34 @@
   }
 
  private:
+  std::error_code ListenAt(const tcp::endpoint& endpoint) {
+    std::error_code error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (error) {
+      std::error_code ignored;  // NOLINT: the first error is reported.
+      acceptor_.close(ignored);
+    }
+    return error;
+  }
+
+  void OnListenFailed(const std::error_code& error) {
+    if (!std::exchange(listen_failed_, true)) {
+      spdlog::warn("{}: can't listen at {}:{}, tried again: {}", purpose_,
+                   first_.address().to_string(), first_.port(),
+                   error.message());
+    }
+    listen_retry_timer_.Start(kListenRetryInterval, [this] { Listen(); });
+  }
+
   void OnAccept(std::error_code error, tcp::socket socket) {
     if (!acceptor_.is_open()) {
       return;
@@ -119,9 +193,16 @@
   }
 
   EventLoop& loop_;
+  std::string purpose_;
+  tcp::endpoint first_;
+  std::uint16_t last_port_;
   tcp::acceptor acceptor_;
+  Timer listen_retry_timer_;
   Timer accept_retry_timer_;
   Handler handler_;
+  std::function<void()> on_listening_;
+  heatherlever::Instant created_at_;
+  bool listen_failed_ = false;
   heathersteer::CallerLimits limits_;
   std::set<std::shared_ptr<HttpSession>> sessions_;
   std::size_t max_buffered_bytes_ = kDefaultMaxBufferedBytes;
@@ -130,11 +211,10 @@
 };
 
 HttpServer::HttpServer(EventLoop& loop,
-                       const std::string& address,
-                       std::uint16_t port,
+                       const ListenAddress& address,
                        Handler handler)
-    : impl_(std::make_shared<Impl>(loop, address, port, std::move(handler))) {
-  impl_->Accept();
+    : impl_(std::make_shared<Impl>(loop, address, std::move(handler))) {
+  impl_->Listen();
 }
 
 HttpServer::~HttpServer() {
@@ -161,6 +241,18 @@
   impl_->StopListening();
 }
 
+bool HttpServer::listening() const {
+  return impl_->listening();
+}
+
+void HttpServer::OnListening(std::function<void()> function) {
+  impl_->set_on_listening(std::move(function));
+}
+
+const std::string& HttpServer::purpose() const {
+  return impl_->purpose();
+}
+
 std::uint16_t HttpServer::port() const {
   return impl_->port();
 }
--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -81,7 +81,17 @@
     def start(self):
         """Starts the process, or restarts it after it has ended."""
         self.process = subprocess.Popen(self.arguments, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
-        threading.Thread(target=self.read_log, args=(self.process.stdout,), daemon=True).start()
+        self.reader = threading.Thread(target=self.read_log, args=(self.process.stdout,), daemon=True)
+        self.reader.start()
+
+    def kill(self):
+        """Ends the process and forgets what it wrote."""
+        self.process.kill()
+        self.process.wait()
+        self.reader.join()
+        self.process.stdout.close()
+        self.lines = queue.Queue()
+        self.history = []
 
     def write_settings(self):
         self.file.seek(0)
