Leave ports of outgoing connections to servers

A server, of the host or of another program, could not bind the port from which a host was connected: a restarted host ended, or a backend server could not start.

Cause: the kernel takes the port of an outgoing connection for its source alone unless the socket allows the address to be used again; servers do, outgoing sockets did not.

Outgoing sockets now set SO_REUSEADDR before they connect. Connections of other programs still keep their ports.

--- a/src/libheathergate/connection_trial.cc
+++ b/src/libheathergate/connection_trial.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "heathernet/event_loop.h"
+#include "libheathergate/socket_options.h"
 #include "libheathernet/event_loop_impl.h"
 
 namespace heathergate {
@@ -36,9 +37,14 @@
     if (error) {
       continue;
     }
+    const asio::ip::tcp::endpoint endpoint(address, peer.port);
     const auto attempt = std::make_shared<Attempt>(loop_);
+    OpenClientSocket(attempt->socket, endpoint, error);
+    if (error) {
+      continue;
+    }
     attempts_.push_back(attempt);
-    attempt->socket.async_connect({address, peer.port},
+    attempt->socket.async_connect(endpoint,
                                   [this, attempt](std::error_code result) {
                                     if (attempt->cancelled) {
                                       return;
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -49,6 +49,13 @@
     });
     return;
   }
+  const asio::ip::tcp::endpoint endpoint(address, peer_.port);
+  OpenClientSocket(socket_, endpoint, error);
+  if (error) {
+    loop_.Post(
+        [self = shared_from_this(), error] { self->OnConnected(error); });
+    return;
+  }
   connect_timer_.Start(client_.options_.connect_timeout,
                        [self = weak_from_this()] {
                          if (const auto connection = self.lock()) {
@@ -57,7 +64,7 @@
                          }
                        });
   ++client_.opened_;
-  socket_.async_connect({address, peer_.port},
+  socket_.async_connect(endpoint,
                         [self = shared_from_this()](std::error_code result) {
                           self->OnConnected(result);
                         });
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -15,6 +15,16 @@
 
 }  // namespace
 
+void OpenClientSocket(asio::ip::tcp::socket& socket,
+                      const asio::ip::tcp::endpoint& peer,
+                      std::error_code& error) {
+  socket.open(peer.protocol(), error);
+  if (!error) {
+    std::error_code ignored;  // NOLINT: the socket works without the option.
+    socket.set_option(asio::ip::tcp::socket::reuse_address(true), ignored);
+  }
+}
+
 void ConfigureSocket(asio::ip::tcp::socket& socket,
                      heatherlever::Duration ack_timeout) {
   std::error_code ignored;  // NOLINT: the socket works without the options.
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -9,6 +9,12 @@
 
 namespace heathergate {
 
+/// Opens a socket for an outgoing connection. The port that the kernel chooses
+/// for it stays available to servers of this host.
+void OpenClientSocket(asio::ip::tcp::socket& socket,
+                      const asio::ip::tcp::endpoint& peer,
+                      std::error_code& error);
+
 /// Makes the socket non-blocking, disables Nagle's algorithm, and lets the
 /// connection fail if sent bytes or keep-alive probes stay unacknowledged for
 /// `ack_timeout`.
