Never send a request over a connection that leads to itself

Callers got 502 "outcome unknown" for requests that nothing had run, and a server could not start again at its port.

Cause: where nothing listens at a port of the kernel's range for outgoing connections, the kernel may choose the same port as the source of a connection to it. Such a connection is established, with itself, and the host read its own request as the response. Same class as a taken address: a machine's ports are shared.

Trial connections do the same.

--- a/src/libheathergate/connection_trial.cc
+++ b/src/libheathergate/connection_trial.cc
@@ -44,17 +44,17 @@
       continue;
     }
     attempts_.push_back(attempt);
-    attempt->socket.async_connect(endpoint,
-                                  [this, attempt](std::error_code result) {
-                                    if (attempt->cancelled) {
-                                      return;
-                                    }
-                                    if (result) {
-                                      OnFailed();
-                                    } else {
-                                      Finish(true);
-                                    }
-                                  });
+    attempt->socket.async_connect(
+        endpoint, [this, attempt](std::error_code result) {
+          if (attempt->cancelled) {
+            return;
+          }
+          if (result || ConnectedToItself(attempt->socket)) {
+            OnFailed();
+          } else {
+            Finish(true);
+          }
+        });
   }
 }
 
--- a/src/libheathergate/http_client_test.cc
+++ b/src/libheathergate/http_client_test.cc
@@ -5,7 +5,10 @@
 #include <unistd.h>
 
 #include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -15,9 +18,13 @@
 namespace heathergate {
 namespace {
 
+using asio::ip::tcp;
 using heathernet::EventLoop;
 using std::chrono::milliseconds;
 
+// Enough for the kernel to choose each port of its default range once.
+constexpr int kManyCalls = 40000;
+
 constexpr const char* kHead = "GET / HTTP/1.1\r\n\r\n";
 
 // Nothing listens there.
@@ -106,6 +113,38 @@
   ExpectFailureAfterSend();
 }
 
+// Calls to a server that had ended were sent to the host itself, and the
+// server could not start again at its port.
+TEST(HttpClientPortTest, CallToAPortWithoutServerIsNeverSent) {
+  EventLoop loop;
+  asio::io_context context;
+  // In the kernel's range for outgoing connections, and closed again. The
+  // kernel prefers odd ports for servers and even ones for connections.
+  const std::uint16_t port =
+      tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0})
+          .local_endpoint()
+          .port() ^
+      1U;
+  HttpClient client(loop, {});
+  int left = kManyCalls;
+  int sent = 0;
+  std::function<void()> send = [&] {
+    const auto call =
+        client.Send({"peer", "127.0.0.1", port}, kHead, "", "",
+                    [&](const CallResult& result) {
+                      sent += result.outcome != CallOutcome::kNotSent ? 1 : 0;
+                      if (--left == 0 || sent > 0) {
+                        loop.Stop();
+                      } else {
+                        loop.Post(send);
+                      }
+                    });
+  };
+  send();
+  loop.Run();
+  EXPECT_EQ(sent, 0) << "after " << kManyCalls - left << " calls";
+}
+
 INSTANTIATE_TEST_SUITE_P(UnusablePeers,
                          HttpClientTest,
                          testing::ValuesIn(kAddresses),
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -75,6 +75,9 @@
     return;
   }
   connect_timer_.Cancel();
+  if (!error && ConnectedToItself(socket_)) {
+    error = asio::error::connection_refused;
+  }
   if (error) {
     unreachable_ = true;
     Fail("cannot connect: " + error.message());
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -25,6 +25,14 @@
   }
 }
 
+bool ConnectedToItself(const asio::ip::tcp::socket& socket) {
+  std::error_code local_error;
+  std::error_code remote_error;
+  const auto local = socket.local_endpoint(local_error);
+  const auto remote = socket.remote_endpoint(remote_error);
+  return !local_error && !remote_error && local == remote;
+}
+
 void ConfigureSocket(asio::ip::tcp::socket& socket,
                      heatherlever::Duration ack_timeout) {
   std::error_code ignored;  // NOLINT: the socket works without the options.
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -15,6 +15,11 @@
                       const asio::ip::tcp::endpoint& peer,
                       std::error_code& error);
 
+/// Whether the connection leads from a port to itself. The kernel establishes
+/// one if nothing listens at a port and it chooses the same one for the
+/// outgoing connection.
+bool ConnectedToItself(const asio::ip::tcp::socket& socket);
+
 /// Makes the socket non-blocking, disables Nagle's algorithm, and lets the
 /// connection fail if sent bytes or keep-alive probes stay unacknowledged for
 /// `ack_timeout`.
