Log: a separate thread writes, and no flag of an inherited output changes

LogBuffer set O_NONBLOCK on standard output and cleared it at its end; the flag belongs to the open file, so that the next log write of all others blocked their event loops.

Now a thread with all signals blocked writes; the event loop appends to a buffer of 256 KiB, lines beyond it are dropped, reported and counted in heather_log_lines_dropped_total, as are lines that can't be written. The end of a process waits 0.1 s for a slow reader, its error message 0.2 s.

--- a/src/include/heathergate/log_buffer.h
+++ b/src/include/heathergate/log_buffer.h
@@ -10,18 +10,22 @@
 
 namespace heathergate {
 
-/// Writes the default logger's output to standard output from the event loop.
-/// Lines are buffered and written together without blocking. If the reader is
-/// too slow, lines are dropped, and a later line reports how many.
+/// Writes the default logger's output to a descriptor. Lines are buffered and
+/// written together by a separate thread, so that the event loop never blocks.
+/// If the reader is too slow, lines are dropped, and a later line reports how
+/// many. Lines are logged on the loop's thread only.
 class LogBuffer {
  public:
-  explicit LogBuffer(heathernet::EventLoop& loop);
+  LogBuffer(heathernet::EventLoop& loop, int descriptor);
 
-  /// Writes the remaining lines and restores plain standard output for the
-  /// default logger.
+  /// Writes the remaining lines unless the reader is too slow. The default
+  /// logger then discards what it gets.
   ~LogBuffer();
+  LogBuffer(const LogBuffer&) = delete;
+  LogBuffer& operator=(const LogBuffer&) = delete;
 
-  /// Number of lines dropped since construction.
+  /// Number of lines dropped since construction, for want of room or because
+  /// they could not be written.
   std::uint64_t dropped() const;
 
  private:
--- a/src/libheathergate/log_buffer.cc
+++ b/src/libheathergate/log_buffer.cc
@@ -1,16 +1,16 @@
 #include "heathergate/log_buffer.h"
 
-#include <fcntl.h>
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/null_sink.h>
 #include <spdlog/spdlog.h>
-#include <unistd.h>
 
 #include <string>
+#include <utility>
 
 #include "heathergate/timer.h"
 #include "heathernet/event_loop.h"
+#include "libheathernet/output_writer.h"
 
 namespace heathergate {
 namespace {
@@ -21,61 +21,56 @@
 // Maximum bytes that wait for a slow reader, about a thousand lines.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
 constexpr Duration kFlushInterval = std::chrono::milliseconds(200);
+// Maximum time that the end of a process waits for a slow reader.
+constexpr Duration kFinishTimeout = std::chrono::milliseconds(100);
 constexpr const char* kPattern = "%Y-%m-%dT%H:%M:%S.%e %L %v";
 
-void SetBlocking(bool blocking) {
-  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
-  if (flags >= 0) {
-    fcntl(STDOUT_FILENO, F_SETFL,
-          blocking ? flags & ~O_NONBLOCK : flags | O_NONBLOCK);
-  }
-}
-
 }  // namespace
 
 class LogBuffer::Sink
     : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
-  explicit Sink(EventLoop& loop) : timer_(loop) {}
-
-  void WriteOut() {
-    if (dropped_ > reported_dropped_ &&
-        buffer_.size() < kMaxBufferedBytes / 2) {
-      buffer_ +=
-          "log lines dropped: " + std::to_string(dropped_ - reported_dropped_) +
-          "\n";
-      reported_dropped_ = dropped_;
-    }
-    const ssize_t written =
-        write(STDOUT_FILENO, buffer_.data(), buffer_.size());
-    if (written > 0) {
-      buffer_.erase(0, static_cast<std::size_t>(written));
-    }
-  }
+  Sink(EventLoop& loop, int descriptor) : timer_(loop), writer_(descriptor) {}
 
   void Stop() {
     stopped_ = true;
     timer_.Cancel();
     WriteOut();
+    writer_.Finish(kFinishTimeout);
   }
 
-  std::uint64_t dropped() const { return dropped_; }
+  std::uint64_t dropped() const { return dropped_ + writer_.failed_lines(); }
 
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override {
     spdlog::memory_buf_t line;
     formatter_->format(message, line);
-    if (buffer_.size() + line.size() > kMaxBufferedBytes) {
+    if (waiting_bytes() + line.size() > kMaxBufferedBytes) {
       ++dropped_;
-      return;
+    } else {
+      buffer_.append(line.data(), line.size());
     }
-    buffer_.append(line.data(), line.size());
     ScheduleFlush();
   }
 
   void flush_() override { WriteOut(); }
 
  private:
+  std::size_t waiting_bytes() const {
+    return buffer_.size() + writer_.pending_bytes();
+  }
+
+  void WriteOut() {
+    if (dropped() > reported_dropped_ &&
+        waiting_bytes() < kMaxBufferedBytes / 2) {
+      const std::uint64_t now_dropped = dropped();
+      buffer_ += "log lines dropped: " +
+                 std::to_string(now_dropped - reported_dropped_) + "\n";
+      reported_dropped_ = now_dropped;
+    }
+    writer_.Write(std::exchange(buffer_, {}));
+  }
+
   void ScheduleFlush() {
     if (flush_scheduled_ || stopped_) {
       return;
@@ -84,22 +79,24 @@
     timer_.Start(kFlushInterval, [this] {
       flush_scheduled_ = false;
       WriteOut();
-      if (!buffer_.empty()) {
+      if (dropped_ > reported_dropped_) {
         ScheduleFlush();
       }
     });
   }
 
   Timer timer_;
+  heathernet::OutputWriter writer_;
   std::string buffer_;
+  // Lines for which there was no room.
   std::uint64_t dropped_ = 0;
   std::uint64_t reported_dropped_ = 0;
   bool flush_scheduled_ = false;
   bool stopped_ = false;
 };
 
-LogBuffer::LogBuffer(EventLoop& loop) : sink_(std::make_shared<Sink>(loop)) {
-  SetBlocking(false);
+LogBuffer::LogBuffer(EventLoop& loop, int descriptor)
+    : sink_(std::make_shared<Sink>(loop, descriptor)) {
   auto logger = std::make_shared<spdlog::logger>("", sink_);
   logger->set_pattern(kPattern);
   spdlog::set_default_logger(logger);
@@ -107,9 +104,9 @@
 
 LogBuffer::~LogBuffer() {
   sink_->Stop();
-  SetBlocking(true);
+  // A logger of standard output would wait for its reader.
   spdlog::set_default_logger(std::make_shared<spdlog::logger>(
-      "", std::make_shared<spdlog::sinks::stdout_sink_st>()));
+      "", std::make_shared<spdlog::sinks::null_sink_st>()));
 }
 
 std::uint64_t LogBuffer::dropped() const {
--- a/src/libheathernet/program.cc
+++ b/src/libheathernet/program.cc
@@ -1,10 +1,25 @@
 #include "libheathernet/program.h"
 
+#include <unistd.h>
+
+#include <chrono>
 #include <iostream>
 
+#include "libheathernet/output_writer.h"
+
 namespace heathernet {
 namespace {
 
+// Maximum time that the end of a process waits for a slow reader.
+constexpr auto kErrorTimeout = std::chrono::milliseconds(200);
+
+// Does not block when nobody reads standard error.
+void WriteError(const std::string& program, const std::string& message) {
+  OutputWriter output(STDERR_FILENO);
+  output.Write(program + ": " + message + "\n");
+  output.Finish(kErrorTimeout);
+}
+
 int Run(cxxopts::Options& options,
         int argc,
         char** argv,
@@ -32,13 +47,13 @@
   try {
     return Run(options, argc, argv, body);
   } catch (const BadInput& error) {
-    std::cerr << options.program() << ": " << error.what() << "\n";
+    WriteError(options.program(), error.what());
     return kExitBadInput;
   } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << options.program() << ": " << error.what() << "; see --help\n";
+    WriteError(options.program(), std::string(error.what()) + "; see --help");
     return kExitBadInput;
   } catch (const std::exception& error) {
-    std::cerr << options.program() << ": " << error.what() << "\n";
+    WriteError(options.program(), error.what());
     return kExitFailure;
   }
 }
