A log file at the limit of its size no longer ends the host

A write beyond the limit on file sizes (ulimit -f) sends SIGXFSZ, which ended the process with all its requests.

--- a/testsuite/gateway/log_test.py
+++ b/testsuite/gateway/log_test.py
@@ -115,6 +115,19 @@
             self.addCleanup(process.kill)
             self.assertEqual(process.wait(timeout=TIMEOUT_S), 2)
 
+    # A log file at the limit of its size ended the process by SIGXFSZ.
+    def test_a_host_goes_on_when_its_log_file_may_not_grow(self):
+        with tempfile.NamedTemporaryFile() as log:
+            host = self.output_host(log.fileno(), file_limit=FILE_LIMIT_BYTES)
+            for number in range(10):
+                self.assertEqual(host.request(f"/x/{number}")[0], 200)
+                # Lines are written together every 0.2 s.
+                time.sleep(0.05)
+            wait_until(lambda: host.metric("heather_log_lines_dropped_total") > 0, TIMEOUT_S)
+            self.assertEqual(os.path.getsize(log.name), FILE_LIMIT_BYTES)
+            host.process.send_signal(signal.SIGTERM)
+            self.assertEqual(host.process.wait(timeout=TIMEOUT_S), 0)
+
 
 def wait_until(condition, timeout_s):
     """The time limit only ends a test that would hang."""
