Settings that change while the host starts are read again

The change time of the settings file was read after the start, so that a change during it was never noticed; a SIGHUP that told of it had come before its handler.

--- a/testsuite/gateway/start_signals_test.py
+++ b/testsuite/gateway/start_signals_test.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import unittest
 
@@ -33,6 +34,12 @@
             json.dump(self.model.settings, file)
         os.utime(self.settings, (change_time_s, change_time_s))
 
+    def replace_rules(self):
+        """Replaces the pipe with a file; who has opened the pipe still reads from it."""
+        with open(self.rules + ".new", "w", encoding="utf-8") as file:
+            file.write(NO_RULES)
+        os.replace(self.rules + ".new", self.rules)
+
     def start(self):
         process = subprocess.Popen(
             [PROGRAM, "--settings", self.settings, "--rules", self.rules], stdout=subprocess.PIPE, text=True)
@@ -51,6 +58,20 @@
                 self.assertLess(time.monotonic(), end)
                 time.sleep(0.02)
 
+    # The change time was read after the start, so that the host ran with settings that were no longer in the file.
+    def test_settings_that_change_while_the_host_starts_are_read_again(self):
+        process = self.start()
+        # The settings have been read once the pipe opens.
+        with open(self.rules, "w", encoding="utf-8") as rules:
+            self.replace_rules()
+            self.write_settings(1)
+            process.send_signal(signal.SIGHUP)
+            rules.write(NO_RULES)
+        limit = threading.Timer(START_TIMEOUT_S, process.kill)
+        limit.start()
+        self.addCleanup(limit.cancel)
+        self.assertTrue(any("read again" in line for line in process.stdout))
+
     # The process ended by the signal after it had bound its ports, before it handled signals.
     def test_stop_signal_while_the_host_starts_is_a_planned_stop(self):
         process = self.start()
