Callers that end their sending side get their response

Callers that shut down their sending side after a request, and waited, saw their connection close without a response, also after the request had run.

Every FIN was taken for a caller that has left, whose work has to end soon. One that has closed sends the same FIN, but its kernel resets the connection if more is sent. A request that is not sent yet waits for the result; HTTP/1.0 and systems without TCP_INFO behave as before.

--- a/src/include/heathergate/http_exchange.h
+++ b/src/include/heathergate/http_exchange.h
@@ -44,13 +44,15 @@
   void Abandon();
 
   /// Sets a function that calls Abandon() if the client has disconnected and
-  /// the event loop has not handled that yet.
-  void SetClientCheck(std::function<void()> check) {
+  /// the event loop has not handled that yet. It returns whether the client is
+  /// known to wait.
+  void SetClientCheck(std::function<bool()> check) {
     check_client_ = std::move(check);
   }
 
   /// Returns whether a response is still expected. Finds a disconnected client
-  /// at once, with a system call.
+  /// at once, with a system call. If it returns false and the exchange is not
+  /// done, the connection is still finding out: ask again later.
   bool CheckClient();
 
   bool done() const { return done_; }
@@ -61,7 +63,7 @@
   heatherlever::Instant received_;
   Reply reply_;
   std::function<void()> on_abandoned_;
-  std::function<void()> check_client_;
+  std::function<bool()> check_client_;
   bool done_ = false;
 };
 
--- a/src/include/heathergate/http_head.h
+++ b/src/include/heathergate/http_head.h
@@ -24,6 +24,8 @@
   std::vector<HeaderField> fields;
   /// Whether the sender keeps the connection open after this message.
   bool keep_alive = true;
+  /// Whether the sender has to accept interim responses (HTTP/1.1 or later).
+  bool accepts_interim = true;
 
   /// Value of the first field with this name, ignoring case; nullptr if there
   /// is none.
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -124,13 +124,16 @@
   if (TryPlace() || ended_) {
     return;
   }
-  const Duration max_wait = heathersteer::MaxQueueTime(route_);
-  if (last_choice_.limited_for > max_wait) {
+  if (last_choice_.limited_for > heathersteer::MaxQueueTime(route_)) {
     EndUnplaced("servers at their rate limits");
     return;
   }
+  Enqueue();
+}
+
+void ForwardedRequest::Enqueue() {
   ticket_ = gateway_.Enqueue(this, service_.name, route_.rank);
-  queue_timer_.Start(max_wait, [this] {
+  queue_timer_.Start(heathersteer::MaxQueueTime(route_), [this] {
     LogNoCapacity();
     EndUnplaced("no room");
   });
@@ -145,6 +148,8 @@
   if (host != nullptr) {
     if (exchange_->CheckClient()) {
       SendDetour(*host);
+    } else if (!ended_) {
+      Enqueue();
     }
   } else if (detoured_ && !policy_.may_have_run()) {
     Finish(gateway_.DetourRejection(), "no backend server is reachable");
@@ -263,6 +268,7 @@
   // After the event loop was blocked, the request may be handled before the end
   // of its connection.
   if (!exchange_->CheckClient()) {
+    last_choice_ = {};
     return false;
   }
   if (ticket_ != 0) {
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -44,6 +44,8 @@
 
  private:
   void Place();
+  // Waits for a place, at most as long as the route allows.
+  void Enqueue();
   // Passes the request on to another host, which reaches the servers.
   void Detour();
   void SendDetour(const heathersteer::HostRegistration& host);
--- a/src/libheathergate/http_exchange.cc
+++ b/src/libheathergate/http_exchange.cc
@@ -26,10 +26,8 @@
 }
 
 bool HttpExchange::CheckClient() {
-  if (!done_ && check_client_) {
-    check_client_();
-  }
-  return !done_;
+  const bool waits = done_ || !check_client_ || check_client_();
+  return waits && !done_;
 }
 
 }  // namespace heathergate
--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -90,6 +90,9 @@
     Impl& impl = ImplOf<Impl>(parser);
     impl.head_complete = true;
     impl.head.keep_alive = http_should_keep_alive(parser) != 0;
+    impl.head.accepts_interim =
+        parser->http_major > 1 ||
+        (parser->http_major == 1 && parser->http_minor >= 1);
     impl.head.status = static_cast<int>(parser->status_code);
     if (parser->type == HTTP_REQUEST) {
       impl.head.method =
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -5,6 +5,7 @@
 
 #include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
+#include "libheathergate/sent_bytes.h"
 #include "libheathergate/socket_options.h"
 
 namespace heathergate {
@@ -20,6 +21,11 @@
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(1000);
 // Time within which the client's kernel has to acknowledge sent bytes.
 constexpr Duration kClientAckTimeout = std::chrono::seconds(5);
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// Time for a peer that has ended its sending side to acknowledge a probe. If it
+// has closed the connection, its kernel resets it instead.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
+constexpr Duration kProbeInterval = std::chrono::milliseconds(10);
 
 bool HasBody(int status) {
   return status != kStatusNoContent && status != kStatusNotModified;
@@ -33,6 +39,7 @@
     : owner_(owner),
       socket_(std::move(socket)),
       timer_(loop),
+      probe_timer_(loop),
       reader_(HttpReader::Kind::kRequest, {}) {}
 
 void HttpSession::Start() {
@@ -137,7 +144,6 @@
       reader_.head_complete() ? reader_.head().Find("Expect") : nullptr;
   if (expect != nullptr && !continue_sent_) {
     continue_sent_ = true;
-    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
     std::error_code ignored;  // NOLINT: the next read reports the error.
     socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()),
                        ignored);
@@ -156,6 +162,7 @@
   timer_.Cancel();
   head_request_ = reader_.head().method == "HEAD";
   close_after_write_ = !reader_.head().keep_alive;
+  accepts_interim_ = reader_.head().accepts_interim;
   exchange_ = std::make_shared<HttpExchange>(
       std::move(reader_.head()), std::move(reader_.body()), EventLoop::Now(),
       [self = weak_from_this()](const HttpResponse& response) {
@@ -164,19 +171,90 @@
         }
       });
   exchange_->SetClientCheck([self = weak_from_this()] {
-    if (const auto session = self.lock()) {
-      session->CheckPeer();
-    }
+    const auto session = self.lock();
+    return session != nullptr && session->CheckPeer();
   });
   reader_.Reset();
   continue_sent_ = false;
   owner_.Handle(exchange_);
 }
 
-void HttpSession::CheckPeer() {
-  if (!closed_ && EndedByPeer(socket_)) {
+bool HttpSession::CheckPeer() {
+  if (closed_) {
+    return false;
+  }
+  if (peer_state_ == PeerState::kOpen && !EndedByPeer(socket_)) {
+    return true;
+  }
+  if (HasFailed(socket_)) {
+    Close();
+    return false;
+  }
+  if (peer_state_ == PeerState::kOpen) {
+    ProbePeer();
+  }
+  return !closed_ && peer_state_ == PeerState::kWaiting;
+}
+
+// A peer that has closed the connection and one that only has no more requests
+// both send a FIN, but only the kernel of the first one resets the connection
+// if more is sent to it.
+void HttpSession::ProbePeer() {
+  const auto sent = SentBytes::Of(socket_.native_handle());
+  if (!accepts_interim_ || !sent.has_value()) {
+    Close();
+    return;
+  }
+  std::error_code error;
+  const std::size_t size = socket_.write_some(
+      asio::buffer(kContinue.data(), kContinue.size()), error);
+  if (size != kContinue.size()) {
     Close();
+    return;
   }
+  peer_state_ = PeerState::kProbed;
+  probe_end_ = sent->written + size;
+  probed_at_ = EventLoop::Now();
+  AwaitError();
+  AwaitProbe();
+}
+
+void HttpSession::AwaitProbe() {
+  const auto sent = SentBytes::Of(socket_.native_handle());
+  if (HasFailed(socket_) || !sent.has_value()) {
+    Close();
+    return;
+  }
+  if (sent->acknowledged >= probe_end_) {
+    peer_state_ = PeerState::kWaiting;
+    return;
+  }
+  if (EventLoop::Now() - probed_at_ >= kProbeTimeout) {
+    Close();
+    return;
+  }
+  probe_timer_.Start(kProbeInterval, [self = weak_from_this()] {
+    const auto session = self.lock();
+    if (session != nullptr && session->exchange_ != nullptr) {
+      session->AwaitProbe();
+    }
+  });
+}
+
+// The peer may close the connection later, or stand behind a proxy that
+// acknowledged the probe.
+void HttpSession::AwaitError() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_error,
+                     [self = shared_from_this()](std::error_code error) {
+                       if (self->closed_ || self->lingering_) {
+                         return;
+                       }
+                       if (error || HasFailed(self->socket_)) {
+                         self->Close();
+                         return;
+                       }
+                       self->AwaitError();
+                     });
 }
 
 void HttpSession::Reject(int status) {
@@ -193,7 +271,10 @@
 }
 
 void HttpSession::Write(const HttpResponse& response) {
-  close_after_write_ = close_after_write_ || response.close || owner_.leaving();
+  close_after_write_ = close_after_write_ || response.close ||
+                       owner_.leaving() ||
+                       (read_ended_ && pending_input_.empty());
+  probe_timer_.Cancel();
   output_ = "HTTP/1.1 " + std::to_string(response.status) + " " +
             ReasonPhrase(response.status) + "\r\n";
   for (const HeaderField& field : response.fields) {
@@ -230,7 +311,11 @@
     return;
   }
   if (close_after_write_) {
-    Linger();
+    if (read_ended_) {
+      Close();
+    } else {
+      Linger();
+    }
     return;
   }
   const bool was_full = pending_input_.size() >= kMaxPendingBytes;
@@ -238,6 +323,14 @@
   reader_.set_limits({limits.max_header_bytes, limits.max_body_bytes});
   StartTimer();
   Parse();
+  if (read_ended_ && exchange_ == nullptr && !writing_) {
+    // What is left is no complete request.
+    Close();
+    return;
+  }
+  if (peer_state_ == PeerState::kProbed && exchange_ != nullptr) {
+    AwaitProbe();
+  }
   if (was_full && !closed_) {
     AwaitInput();
   }
@@ -251,9 +344,17 @@
   StartTimer();
 }
 
-void HttpSession::OnReadEnd(std::error_code) {
-  // A client that closes its side is taken to expect no response.
-  Close();
+void HttpSession::OnReadEnd(std::error_code error) {
+  if (error != asio::error::eof || lingering_ ||
+      (exchange_ == nullptr && !writing_)) {
+    Close();
+    return;
+  }
+  read_ended_ = true;
+  // While a response is written, its own bytes find out.
+  if (!writing_ && peer_state_ == PeerState::kOpen) {
+    ProbePeer();
+  }
 }
 
 void HttpSession::Close() {
@@ -262,6 +363,7 @@
   }
   closed_ = true;
   timer_.Cancel();
+  probe_timer_.Cancel();
   CountBufferedBytes(0);
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
   socket_.close(ignored);
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -3,6 +3,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -10,6 +11,7 @@
 #include "heathergate/http_reader.h"
 #include "heathergate/http_response.h"
 #include "heathergate/timer.h"
+#include "heatherlever/instant.h"
 #include "heathersteer/traffic_config.h"
 
 namespace heathernet {
@@ -44,7 +46,10 @@
   void Parse();
   void OnReadEnd(std::error_code error);
   void Dispatch();
-  void CheckPeer();
+  bool CheckPeer();
+  void ProbePeer();
+  void AwaitProbe();
+  void AwaitError();
   void Reject(int status);
   void Reply(const HttpResponse& response);
   void Write(const HttpResponse& response);
@@ -54,9 +59,13 @@
   void StartTimer();
   void OnTimer();
 
+  // What is known of a peer that has ended its sending side.
+  enum class PeerState { kOpen, kProbed, kWaiting };
+
   SessionOwner& owner_;
   asio::ip::tcp::socket socket_;
   Timer timer_;
+  Timer probe_timer_;
   HttpReader reader_;
   std::shared_ptr<HttpExchange> exchange_;
   // Received bytes that are not parsed yet, such as pipelined requests.
@@ -64,6 +73,13 @@
   std::string output_;
   // Bytes of the current request in the owner's count.
   std::size_t buffered_bytes_ = 0;
+  PeerState peer_state_ = PeerState::kOpen;
+  // Sent bytes that are acknowledged once the peer has answered the probe.
+  std::uint64_t probe_end_ = 0;
+  heatherlever::Instant probed_at_{0};
+  bool accepts_interim_ = false;
+  // Whether the end of the peer's bytes has been read.
+  bool read_ended_ = false;
   bool head_request_ = false;
   bool writing_ = false;
   bool close_after_write_ = false;
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -40,6 +40,12 @@
   return poll(&entry, 1, 0) > 0;
 }
 
+bool HasFailed(asio::ip::tcp::socket& socket) {
+  // POLLERR and POLLHUP are reported without being requested.
+  pollfd entry{.fd = socket.native_handle(), .events = 0, .revents = 0};
+  return poll(&entry, 1, 0) > 0;
+}
+
 SocketInput ReadAvailable(asio::ip::tcp::socket& socket) {
   static std::array<char, kReadBufferBytes> buffer;
   SocketInput input;
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -23,6 +23,9 @@
 /// that was sent before and is not read yet.
 bool EndedByPeer(asio::ip::tcp::socket& socket);
 
+/// Whether the connection has failed or was reset.
+bool HasFailed(asio::ip::tcp::socket& socket);
+
 /// Result of one read. `data` points into a buffer that all connections share
 /// and is valid until the next read.
 struct SocketInput {
