Peers that are alive and read late are not cut off

A caller that began to read a response of 8 MB after 8 s saw its connection reset; a server that began to read a request after 3 s lost it, and the caller got 502.

Linux applies TCP_USER_TIMEOUT (5 s and 0.7 s) also to a peer with a closed window that acknowledges every probe. While more than 16 kB are on their way, SendWatch now tells the two apart: with bytes to send and none in flight the longer timeout holds, the idle timeout of callers or 60 s at servers, where calls have deadlines.

slow_caller_test: both tests failed before (ConnectionResetError; 502 instead of 200), both pass now. Peers that acknowledge nothing keep the short timeouts; not run, as loopback loses no segments.

--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -21,6 +21,9 @@
 // Share of the keep-alive time announced by the peer during which a connection
 // is reused, so that no request is sent while the peer closes the connection.
 constexpr double kKeepAliveShare = 0.6;
+// Time for which a peer may accept no bytes of a request. Calls have deadlines
+// of their own.
+constexpr Duration kStallTimeout = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -32,6 +35,7 @@
       peer_(std::move(peer)),
       socket_(loop.impl()->context),
       connect_timer_(loop),
+      send_watch_(loop, socket_),
       reader_(HttpReader::Kind::kResponse,
               {.head_bytes = kMaxHeadBytes,
                .body_bytes = client.options_.max_body_bytes}) {}
@@ -74,6 +78,7 @@
     return;
   }
   ConfigureSocket(socket_, client_.options_.ack_timeout);
+  send_watch_.SetTimeouts(client_.options_.ack_timeout, kStallTimeout);
   Write();
   AwaitInput();
 }
@@ -100,6 +105,7 @@
   // async_write may send part of the request at once.
   call_->sent_ = true;
   writing_ = true;
+  send_watch_.Start(request_.size());
   asio::async_write(
       socket_, asio::buffer(request_),
       [self = shared_from_this()](std::error_code error, std::size_t) {
@@ -251,6 +257,7 @@
   closed_ = true;
   call_ = nullptr;
   connect_timer_.Cancel();
+  send_watch_.Stop();
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
   socket_.close(ignored);
   client_.RemoveIdle(shared_from_this());
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -9,6 +9,7 @@
 #include "heathergate/http_client.h"
 #include "heathergate/http_reader.h"
 #include "heathergate/timer.h"
+#include "libheathergate/send_watch.h"
 
 namespace heathernet {
 class EventLoop;
@@ -62,6 +63,7 @@
   HttpPeer peer_;
   asio::ip::tcp::socket socket_;
   Timer connect_timer_;
+  SendWatch send_watch_;
   HttpReader reader_;
   std::shared_ptr<HttpCall> call_;
   std::string request_;
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -40,11 +40,13 @@
       socket_(std::move(socket)),
       timer_(loop),
       probe_timer_(loop),
+      send_watch_(loop, socket_),
       reader_(HttpReader::Kind::kRequest, {}) {}
 
 void HttpSession::Start() {
   ConfigureSocket(socket_, kClientAckTimeout);
   const auto& limits = owner_.limits();
+  send_watch_.SetTimeouts(kClientAckTimeout, limits.idle_timeout);
   reader_.set_limits({limits.max_header_bytes, limits.max_body_bytes});
   StartTimer();
   AwaitInput();
@@ -292,6 +294,7 @@
     output_ += response.body;
   }
   writing_ = true;
+  send_watch_.Start(output_.size());
   asio::async_write(
       socket_, asio::buffer(output_),
       [self = shared_from_this()](std::error_code error, std::size_t) {
@@ -311,6 +314,7 @@
     return;
   }
   if (close_after_write_) {
+    send_watch_.AllowStall();
     if (read_ended_) {
       Close();
     } else {
@@ -364,6 +368,7 @@
   closed_ = true;
   timer_.Cancel();
   probe_timer_.Cancel();
+  send_watch_.Stop();
   CountBufferedBytes(0);
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
   socket_.close(ignored);
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -13,6 +13,7 @@
 #include "heathergate/timer.h"
 #include "heatherlever/instant.h"
 #include "heathersteer/traffic_config.h"
+#include "libheathergate/send_watch.h"
 
 namespace heathernet {
 class EventLoop;
@@ -66,6 +67,7 @@
   asio::ip::tcp::socket socket_;
   Timer timer_;
   Timer probe_timer_;
+  SendWatch send_watch_;
   HttpReader reader_;
   std::shared_ptr<HttpExchange> exchange_;
   // Received bytes that are not parsed yet, such as pipelined requests.
--- a/src/libheathergate/sent_bytes.cc
+++ b/src/libheathergate/sent_bytes.cc
@@ -24,7 +24,8 @@
   const std::uint64_t acknowledged = info.tcpi_bytes_acked;
   return SentBytes{
       .acknowledged = acknowledged,
-      .written = acknowledged + static_cast<std::uint64_t>(unacknowledged)};
+      .written = acknowledged + static_cast<std::uint64_t>(unacknowledged),
+      .in_flight = info.tcpi_unacked > 0};
 }
 
 }  // namespace heathergate
--- a/src/libheathergate/sent_bytes.h
+++ b/src/libheathergate/sent_bytes.h
@@ -11,6 +11,8 @@
   std::uint64_t acknowledged = 0;
   /// End of the bytes that were written to the socket.
   std::uint64_t written = 0;
+  /// Whether bytes are on their way that the peer has not acknowledged.
+  bool in_flight = false;
 
   /// Empty if the system does not tell.
   static std::optional<SentBytes> Of(int socket);
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -20,6 +20,11 @@
   std::error_code ignored;  // NOLINT: the socket works without the options.
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket.non_blocking(true, ignored);
+  SetAckTimeout(socket, ack_timeout);
+}
+
+void SetAckTimeout(asio::ip::tcp::socket& socket,
+                   heatherlever::Duration ack_timeout) {
   const auto ms = static_cast<unsigned>(
       std::chrono::duration_cast<std::chrono::milliseconds>(ack_timeout)
           .count());
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -15,6 +15,10 @@
 void ConfigureSocket(asio::ip::tcp::socket& socket,
                      heatherlever::Duration ack_timeout);
 
+/// Changes the `ack_timeout` of ConfigureSocket().
+void SetAckTimeout(asio::ip::tcp::socket& socket,
+                   heatherlever::Duration ack_timeout);
+
 /// Whether an idle connection has been closed by the peer or has unexpected
 /// input.
 bool HasPendingInput(asio::ip::tcp::socket& socket);
