--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -38,6 +38,11 @@
   std::error_code ignored;  // NOLINT: the socket works without the options.
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket.non_blocking(true, ignored);
+  SetAckTimeout(socket, ack_timeout);
+}
+
+void SetAckTimeout(asio::ip::tcp::socket& socket,
+                   heatherlever::Duration ack_timeout) {
   const auto ms = static_cast<unsigned>(
       std::chrono::duration_cast<std::chrono::milliseconds>(ack_timeout)
           .count());
@@ -58,6 +63,12 @@
   return poll(&entry, 1, 0) > 0;
 }
 
+bool HasFailed(asio::ip::tcp::socket& socket) {
+  // POLLERR and POLLHUP are reported without being requested.
+  pollfd entry{.fd = socket.native_handle(), .events = 0, .revents = 0};
+  return poll(&entry, 1, 0) > 0;
+}
+
 SocketInput ReadAvailable(asio::ip::tcp::socket& socket) {
   static std::array<char, kReadBufferBytes> buffer;
   SocketInput input;
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -26,6 +26,10 @@
 void ConfigureSocket(asio::ip::tcp::socket& socket,
                      heatherlever::Duration ack_timeout);
 
+/// Changes the `ack_timeout` of ConfigureSocket().
+void SetAckTimeout(asio::ip::tcp::socket& socket,
+                   heatherlever::Duration ack_timeout);
+
 /// Whether an idle connection has been closed by the peer or has unexpected
 /// input.
 bool HasPendingInput(asio::ip::tcp::socket& socket);
@@ -34,6 +38,9 @@
 /// that was sent before and is not read yet.
 bool EndedByPeer(asio::ip::tcp::socket& socket);
 
+/// Whether the connection has failed or was reset.
+bool HasFailed(asio::ip::tcp::socket& socket);
+
 /// Result of one read. `data` points into a buffer that all connections share
 /// and is valid until the next read.
 struct SocketInput {
