Abseil is linked statically, which shortens the start

The dynamic linker opened 25 libraries of Abseil at every start, and a SIGHUP in that time ends the process. Debian's libabsl-dev has their archives; where they are missing, the shared libraries are used as before. The build command and the packages stay, and libc stays dynamic.

--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -8,6 +8,18 @@
 find_package(spdlog REQUIRED)
 find_package(yaml-cpp REQUIRED)
 
+# Abseil's archives in place of its two dozen shared libraries, which take most of
+# the time that the dynamic linker needs to start a program.
+get_property(imported_targets DIRECTORY PROPERTY IMPORTED_TARGETS)
+list(FILTER imported_targets INCLUDE REGEX "^absl::")
+foreach(target IN LISTS imported_targets)
+  get_target_property(library ${target} IMPORTED_LOCATION_NONE)
+  string(REGEX REPLACE "\\.so[.0-9]*$" ".a" archive "${library}")
+  if(EXISTS "${archive}")
+    set_target_properties(${target} PROPERTIES IMPORTED_LOCATION_NONE "${archive}")
+  endif()
+endforeach()
+
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 
 # Debian's package has neither a CMake nor a pkg-config file.
