Test of a SIGHUP before main: link the library in place of preloading it

The test now starts the same main file, linked with the library whose initializer raises SIGHUP. As strict as before: without .preinit_array it fails (exit by signal 1), with it it passes.

--- a/testsuite/gateway/hangup_at_load.cc
+++ b/testsuite/gateway/hangup_at_load.cc
@@ -1,4 +1,4 @@
-// Preloaded by a test: SIGHUP arrives while the libraries are initialized.
+// SIGHUP arrives while the libraries of a program are initialized.
 
 #include <csignal>
 
--- a/testsuite/gateway/start_signals_test.py
+++ b/testsuite/gateway/start_signals_test.py
@@ -60,10 +60,7 @@
 
     # A signal that came before main() ended the process.
     def test_reload_signal_before_main_does_not_end_the_host(self):
-        library = os.path.join(os.path.dirname(PROGRAM), "hangup_at_load.so")
-        # The sanitizer's library would have to come first.
-        environment = {**os.environ, "LD_PRELOAD": library, "ASAN_OPTIONS": "verify_asan_link_order=0"}
-        result = subprocess.run([PROGRAM, "--version"], env=environment, capture_output=True, text=True)
+        result = subprocess.run([PROGRAM + "-hangup", "--version"], capture_output=True, text=True)
         self.assertEqual(result.returncode, 0, result.stderr)
 
     # The change time was read after the start, so that the host ran with settings that were no longer in the file.
