A stopping host answers the requests that wait in it

What callers saw: connections that ended without an answer at the end of the grace of a stopping host.

Cause: requests that waited for a slot, or for the first configuration, stayed until the event loop stopped, 0.25 s before the end of the grace, and so did requests at which a server was still at work. The process then closed their connections.

Change: Gateway::StopAccepting() ends what waits: 503 with Retry-After 0 if it has certainly not run, else 502.

--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -55,8 +55,13 @@
 
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
 
-  /// Rejects requests from now on; active ones continue.
-  void StopAccepting() { accepting_ = false; }
+  /// Rejects requests from now on, and ends those that wait for a server;
+  /// those that have been sent continue.
+  void StopAccepting();
+
+  /// Ends all requests, those that have been sent with an unknown outcome.
+  /// Implies StopAccepting().
+  void EndRequests();
 
   /// Applies a configuration if its version is above the present one.
   void ApplyConfig(std::shared_ptr<const heathersteer::TrafficConfig> config);
@@ -148,6 +153,7 @@
   HttpResponse RejectionFor(heatherlever::Duration retry_after);
   heathersteer::OverloadThrottle& Throttle(const std::string& route);
   heathersteer::RetryBudget& Budget(const std::string& service);
+  std::vector<std::shared_ptr<ForwardedRequest>> ActiveRequests() const;
   void Retain(const std::shared_ptr<ForwardedRequest>& request);
   void Release(ForwardedRequest* request);
   std::uint64_t Enqueue(ForwardedRequest* request,
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -132,6 +132,10 @@
 }
 
 void ForwardedRequest::Enqueue() {
+  if (!gateway_.accepting_) {
+    EndForStop();
+    return;
+  }
   ticket_ = gateway_.Enqueue(this, service_.name, route_.rank);
   queue_timer_.Start(heathersteer::MaxQueueTime(route_), [this] {
     LogNoCapacity();
@@ -230,6 +234,25 @@
   }
 }
 
+void ForwardedRequest::EndIfWaiting() {
+  if (ticket_ != 0) {
+    EndForStop();
+  }
+}
+
+void ForwardedRequest::EndForStop() {
+  if (ended_) {
+    return;
+  }
+  if (policy_.may_have_run() || (call_ != nullptr && call_->sent())) {
+    Fail(kStatusBadGateway, kStoppingReason);
+  } else if (detoured_) {
+    Finish(gateway_.DetourRejection(), kStoppingReason);
+  } else {
+    Finish(gateway_.RejectionFor(Duration(0)), kStoppingReason);
+  }
+}
+
 bool ForwardedRequest::TryPlace() {
   const Instant now = EventLoop::Now();
   if (gateway_.cut_off()) {
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -26,6 +26,9 @@
 class Gateway;
 class HttpExchange;
 
+/// Reason that is logged for requests that a stopping host ends.
+inline constexpr const char* kStoppingReason = "the host is stopping";
+
 /// One caller's request on its way through the gateway.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
  public:
@@ -42,6 +45,12 @@
   /// is none.
   bool TryPlace();
 
+  /// Ends the request if it waits for a server.
+  void EndIfWaiting();
+
+  /// Ends the request as the process ends.
+  void EndForStop();
+
  private:
   void Place();
   // Waits for a place, at most as long as the route allows.
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -70,7 +70,7 @@
     RejectDetoured(exchange);
   } else if (!accepting_) {
     // Other hosts can serve it at once.
-    Reject(exchange, RejectionFor(Duration(0)), "the host is stopping");
+    Reject(exchange, RejectionFor(Duration(0)), kStoppingReason);
   } else if (started_) {
     Forward(exchange);
   } else {
@@ -78,6 +78,38 @@
   }
 }
 
+// Other hosts can serve at once what waits here, and what begins later may not
+// be over when the process has to end.
+void Gateway::StopAccepting() {
+  if (!std::exchange(accepting_, false)) {
+    return;
+  }
+  for (const auto& exchange : startup_queue_->TakeAll()) {
+    if (!exchange->done()) {
+      Reject(exchange, RejectionFor(Duration(0)), kStoppingReason);
+    }
+  }
+  for (const auto& request : ActiveRequests()) {
+    request->EndIfWaiting();
+  }
+}
+
+void Gateway::EndRequests() {
+  StopAccepting();
+  for (const auto& request : ActiveRequests()) {
+    request->EndForStop();
+  }
+}
+
+std::vector<std::shared_ptr<ForwardedRequest>> Gateway::ActiveRequests() const {
+  std::vector<std::shared_ptr<ForwardedRequest>> requests;
+  requests.reserve(active_.size());
+  for (const auto& [key, request] : active_) {
+    requests.push_back(request);
+  }
+  return requests;
+}
+
 void Gateway::Forward(const std::shared_ptr<HttpExchange>& exchange) {
   const HttpHead& head = exchange->head();
   const std::string* host = head.Find("Host");
--- a/testsuite/gateway/planned_stop_test.py
+++ b/testsuite/gateway/planned_stop_test.py
@@ -1,14 +1,42 @@
 """A host is stopped as planned, under load."""
 
 import http.client
+import socket
 import threading
 import time
 import unittest
 
-from gateway_harness import GatewayTestCase
-from standins import DEADLINE, REQUEST_ID, make_response
+from gateway_harness import START_TIMEOUT_S, GatewayTestCase, config, route
+from standins import DEADLINE, REQUEST_ID, Store, make_response
 
 CALLERS = 8
+# Time in which a host on loopback has certainly read what was sent to it.
+SETTLE_S = 0.2
+
+
+class RawCaller:
+    """A connection to a host; `read_answer()` returns the status and the text of the head, or None if the connection
+    ended without an answer."""
+
+    def __init__(self, host):
+        self.socket = socket.create_connection(("127.0.0.1", host.caller_port), timeout=START_TIMEOUT_S)
+
+    def send(self, name, path="/x/1"):
+        self.socket.sendall(
+            f"GET {path} HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: {name}\r\n{DEADLINE}: 10000\r\n\r\n".encode())
+        return self
+
+    def read_answer(self):
+        response = http.client.HTTPResponse(self.socket)
+        try:
+            response.begin()
+            response.read()
+        except (http.client.HTTPException, OSError):
+            return None
+        return response.status, dict(response.headers)
+
+    def close(self):
+        self.socket.close()
 
 
 class PlannedStopTest(GatewayTestCase):
@@ -41,6 +69,68 @@
         self.assertEqual([], [each for each in self.cut if each in ran])
         self.assertGreater(self.answered, CALLERS)
 
+    def caller(self, host):
+        caller = RawCaller(host)
+        self.addCleanup(caller.close)
+        return caller
+
+    def assert_rejected(self, answer):
+        self.assertIsNotNone(answer, "the connection ended without an answer")
+        self.assertEqual((503, 0), (answer[0], float(answer[1]["Retry-After"])))
+
+    # They waited until the end of the grace, and their connections were closed.
+    def test_requests_that_wait_for_a_slot_are_rejected_when_the_host_stops_accepting(self):
+        def work(request, connection):
+            backend.run(request)
+            time.sleep(1.4)
+            return make_response(request, b"done")
+
+        self.store.put("op", "config", config(2, read=route(targetLatency="60000ms", timeout="30000ms")))
+        backend = self.backend("i-1", work, slots=1)
+        host = self.started_host(bounds={"grace": "2s"})
+        host.await_log("backend server i-1 ")
+        callers = [self.caller(host).send(f"r-{number}") for number in range(6)]
+        time.sleep(SETTLE_S)
+        host.process.terminate()
+        answers = {f"r-{number}": caller.read_answer() for number, caller in enumerate(callers)}
+        self.assertEqual(0, host.process.wait(timeout=30))
+        ran = set(backend.runs)
+        self.assertLess(len(ran), len(callers))
+        for name, answer in answers.items():
+            if name in ran:
+                self.assertEqual(200, (answer or [None])[0], name)
+            else:
+                self.assert_rejected(answer)
+
+    def test_requests_that_wait_for_the_first_configuration_are_rejected_when_the_host_stops(self):
+        empty = Store()
+        self.addCleanup(empty.close)
+        host = self.host(store_port=empty.port, bounds={"grace": "400ms"})
+        host.await_log("started: ")
+        caller = self.caller(host).send("r-1")
+        host.process.terminate()
+        self.assert_rejected(caller.read_answer())
+        self.assertEqual(0, host.process.wait(timeout=30))
+
+    def test_request_that_runs_when_the_grace_ends_gets_an_answer(self):
+        def work(request, connection):
+            backend.run(request)
+            self.gone.wait(START_TIMEOUT_S)
+            return make_response(request, b"done")
+
+        backend = self.backend("i-1", work, slots=10)
+        self.addCleanup(self.gone.set)
+        host = self.started_host(bounds={"grace": "1s"})
+        host.await_log("backend server i-1 ")
+        caller = self.caller(host).send("r-1")
+        time.sleep(SETTLE_S)
+        host.process.terminate()
+        answer = caller.read_answer()
+        self.assertEqual(0, host.process.wait(timeout=30))
+        self.assertEqual(["r-1"], backend.runs)
+        self.assertIsNotNone(answer, "the connection ended without an answer")
+        self.assertIn(answer[0], (502, 504))
+
     def keep_asking(self, host, number):
         connection = None
         count = 0
