A connection is not closed as idle while a request waits unread on it

What callers saw: a kept connection that was closed just after a request had been written, without an answer.

Cause: the idle timer and HttpServer::CloseIdle() looked only at what had been read. After a pause of the process, the timers of all connections came before the input of those beyond the first 128, which one step of the event loop finds. By reading: the header timer could answer 408 in the same way; no test shows it.

Change: both read what has arrived before they decide. An end of the peer's sending side counts as no request, as before.

--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -103,9 +103,7 @@
     const std::vector<std::shared_ptr<HttpSession>> sessions(sessions_.begin(),
                                                              sessions_.end());
     for (const auto& session : sessions) {
-      if (session->idle()) {
-        session->Close();
-      }
+      session->CloseIfIdle();
     }
   }
 
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -71,15 +71,37 @@
 }
 
 void HttpSession::OnTimer() {
-  if (lingering_ || idle()) {
+  if (lingering_) {
     Close();
     return;
   }
-  if (exchange_ == nullptr && !writing_) {
+  if (exchange_ != nullptr || writing_) {
+    return;
+  }
+  // After the process was paused, its timers may come before the input that
+  // has arrived meanwhile.
+  const bool was_idle = idle();
+  TakeInput();
+  if (closed_ || lingering_ || exchange_ != nullptr || writing_) {
+    return;
+  }
+  if (idle()) {
+    Close();
+  } else if (!was_idle) {
     Reject(kStatusRequestTimeout);
   }
 }
 
+void HttpSession::CloseIfIdle() {
+  if (closed_ || lingering_ || !idle()) {
+    return;
+  }
+  TakeInput();
+  if (!closed_ && idle()) {
+    Close();
+  }
+}
+
 void HttpSession::AwaitInput() {
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](std::error_code error) {
@@ -95,6 +117,15 @@
 }
 
 void HttpSession::ReadInput() {
+  TakeInput();
+  // With a full buffer, further input stays in the kernel until the response is
+  // written.
+  if (!closed_ && !read_ended_ && pending_input_.size() < kMaxPendingBytes) {
+    AwaitInput();
+  }
+}
+
+void HttpSession::TakeInput() {
   const SocketInput input = ReadAvailable(socket_);
   if (input.error && input.error != asio::error::would_block) {
     OnReadEnd(input.error);
@@ -104,11 +135,6 @@
     pending_input_.append(input.data);
     Parse();
   }
-  // With a full buffer, further input stays in the kernel until the response is
-  // written.
-  if (!closed_ && pending_input_.size() < kMaxPendingBytes) {
-    AwaitInput();
-  }
 }
 
 void HttpSession::Parse() {
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -35,6 +35,9 @@
   /// Closes the connection at once.
   void Close();
 
+  /// Reads what has arrived; closes the connection if there is no request.
+  void CloseIfIdle();
+
   /// Whether no request is being read or handled.
   bool idle() const;
 
@@ -44,6 +47,7 @@
  private:
   void AwaitInput();
   void ReadInput();
+  void TakeInput();
   void Parse();
   void OnReadEnd(std::error_code error);
   void Dispatch();
--- a/testsuite/gateway/planned_stop_test.py
+++ b/testsuite/gateway/planned_stop_test.py
@@ -1,6 +1,7 @@
 """A host is stopped as planned, under load."""
 
 import http.client
+import signal
 import socket
 import threading
 import time
@@ -10,6 +11,8 @@
 from standins import DEADLINE, REQUEST_ID, Store, make_response
 
 CALLERS = 8
+# More than the connections whose input a host finds in one step of its event loop.
+MANY_CALLERS = 300
 # Time in which a host on loopback has certainly read what was sent to it.
 SETTLE_S = 0.2
 
@@ -74,6 +77,12 @@
         self.addCleanup(caller.close)
         return caller
 
+    def assert_all_answered(self, callers, statuses):
+        answers = [caller.read_answer() for caller in callers]
+        wrong = [number for number, answer in enumerate(answers) if answer is None or answer[0] not in statuses]
+        self.assertEqual([], wrong, "callers without an answer, or with another one")
+        return answers
+
     def assert_rejected(self, answer):
         self.assertIsNotNone(answer, "the connection ended without an answer")
         self.assertEqual((503, 0), (answer[0], float(answer[1]["Retry-After"])))
@@ -131,6 +140,22 @@
         self.assertIsNotNone(answer, "the connection ended without an answer")
         self.assertIn(answer[0], (502, 504))
 
+    # A paused process finds the end of the idle time and the requests at the same moment, and reads the requests of some
+    # connections only after the timers of all.
+    def test_request_that_arrives_while_the_host_is_paused_is_read_before_its_connection_is_closed_as_idle(self):
+        limits = config(2)
+        limits["limits"]["idleTimeout"] = "2000ms"
+        self.store.put("op", "config", limits)
+        host = self.started_host()
+        callers = [self.caller(host) for _ in range(MANY_CALLERS)]
+        self.assertEqual(404, callers[-1].send("a", path="/none").read_answer()[0])
+        host.process.send_signal(signal.SIGSTOP)
+        time.sleep(2.5)
+        for number, caller in enumerate(callers):
+            caller.send(f"b-{number}", path="/none")
+        host.process.send_signal(signal.SIGCONT)
+        self.assert_all_answered(callers, (404,))
+
     def keep_asking(self, host, number):
         connection = None
         count = 0
