A stopping host answers what it has accepted before it ends

What callers saw: connections that were reset, or ended without an answer, when a stopping host ended, although it had accepted them.

Cause: the host stopped as soon as no request was in progress. Connections in the kernel's accept queue were reset; connections that had just been accepted were closed as idle before their request arrived. By reading, not shown by a test: connections on which the last response was on its way counted as not in use, and unread input could reset them.

--- a/src/include/heathergate/http_server.h
+++ b/src/include/heathergate/http_server.h
@@ -40,10 +40,11 @@
   /// Closes each connection after its next response.
   void StartLeaving();
 
-  /// Closes the connections without a request in progress.
+  /// Ends the connections without a request in progress, once what has
+  /// arrived on them is read.
   void CloseIdle();
 
-  /// Stops accepting connections.
+  /// Accepts the connections that the kernel has established, then no more.
   void StopListening();
 
   /// Whether the address is bound and connections are accepted.
@@ -61,6 +62,9 @@
   /// Number of requests that are being read or handled.
   int active() const;
 
+  /// Number of connections, with those that are being closed.
+  int connections() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -85,18 +85,33 @@
   }
 
   void Shutdown() {
-    StopListening();
+    shut_down_ = true;
+    CloseAcceptor();
     const auto sessions = std::exchange(sessions_, {});
     for (const auto& session : sessions) {
       session->Close();
     }
   }
 
+  // Closing the acceptor resets the connections that were not accepted.
   void StopListening() {
-    std::error_code ignored;  // NOLINT: closing twice is harmless.
-    acceptor_.close(ignored);
     listen_retry_timer_.Cancel();
-    accept_retry_timer_.Cancel();
+    if (!acceptor_.is_open()) {
+      return;
+    }
+    std::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      tcp::socket socket(loop_.impl()->context);
+      acceptor_.accept(socket, error);
+      if (!error) {
+        AddSession(std::move(socket));
+      }
+    }
+    // After another error, the next call tries again.
+    if (error == asio::error::would_block) {
+      CloseAcceptor();
+    }
   }
 
   void CloseIdle() {
@@ -125,6 +140,7 @@
     return error ? std::uint16_t{0} : endpoint.port();
   }
   const std::string& purpose() const { return purpose_; }
+  int connections() const { return static_cast<int>(sessions_.size()); }
   void set_limits(const heathersteer::CallerLimits& limits) {
     limits_ = limits;
   }
@@ -176,6 +192,12 @@
   }
 
   void OnAccept(std::error_code error, tcp::socket socket) {
+    if (shut_down_) {
+      return;
+    }
+    if (!error) {
+      AddSession(std::move(socket));
+    }
     if (!acceptor_.is_open()) {
       return;
     }
@@ -183,11 +205,21 @@
       accept_retry_timer_.Start(kAcceptRetryDelay, [this] { Accept(); });
       return;
     }
+    Accept();
+  }
+
+  void AddSession(tcp::socket socket) {
     const auto session =
         std::make_shared<HttpSession>(*this, loop_, std::move(socket));
     sessions_.insert(session);
     session->Start();
-    Accept();
+  }
+
+  void CloseAcceptor() {
+    std::error_code ignored;  // NOLINT: closing twice is harmless.
+    acceptor_.close(ignored);
+    listen_retry_timer_.Cancel();
+    accept_retry_timer_.Cancel();
   }
 
   EventLoop& loop_;
@@ -206,6 +238,7 @@
   std::size_t max_buffered_bytes_ = kDefaultMaxBufferedBytes;
   std::ptrdiff_t buffered_bytes_ = 0;
   bool leaving_ = false;
+  bool shut_down_ = false;
 };
 
 HttpServer::HttpServer(EventLoop& loop,
@@ -259,4 +292,8 @@
   return impl_->active();
 }
 
+int HttpServer::connections() const {
+  return impl_->connections();
+}
+
 }  // namespace heathergate
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -19,6 +19,9 @@
 // Time for the peer to close the connection after the last response. Closing
 // with unread input would reset the connection, and the response could be lost.
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(1000);
+// Time for the first request after the connection was accepted, in which it is
+// not closed as idle.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(200);
 // Time within which the client's kernel has to acknowledge sent bytes.
 constexpr Duration kClientAckTimeout = std::chrono::seconds(5);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -45,6 +48,7 @@
 
 void HttpSession::Start() {
   ConfigureSocket(socket_, kClientAckTimeout);
+  started_at_ = EventLoop::Now();
   const auto& limits = owner_.limits();
   send_watch_.SetTimeouts(kClientAckTimeout, limits.idle_timeout);
   reader_.set_limits({limits.max_header_bytes, limits.max_body_bytes});
@@ -97,8 +101,10 @@
     return;
   }
   TakeInput();
-  if (!closed_ && idle()) {
-    Close();
+  const bool awaits_first =
+      !used_ && EventLoop::Now() - started_at_ < kFirstRequestTime;
+  if (!closed_ && idle() && !awaits_first) {
+    Linger();
   }
 }
 
@@ -188,6 +194,7 @@
 void HttpSession::Dispatch() {
   CountBufferedBytes(reader_.body().size());
   timer_.Cancel();
+  used_ = true;
   head_request_ = reader_.head().method == "HEAD";
   close_after_write_ = !reader_.head().keep_alive;
   accepts_interim_ = reader_.head().accepts_interim;
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -35,7 +35,8 @@
   /// Closes the connection at once.
   void Close();
 
-  /// Reads what has arrived; closes the connection if there is no request.
+  /// Reads what has arrived; ends the connection if there is no request, and
+  /// none is about to come on a new connection.
   void CloseIfIdle();
 
   /// Whether no request is being read or handled.
@@ -86,6 +87,9 @@
   bool accepts_interim_ = false;
   // Whether the end of the peer's bytes has been read.
   bool read_ended_ = false;
+  heatherlever::Instant started_at_{0};
+  // Whether the connection has carried a request.
+  bool used_ = false;
   bool head_request_ = false;
   bool writing_ = false;
   bool close_after_write_ = false;
--- a/testsuite/gateway/planned_stop_test.py
+++ b/testsuite/gateway/planned_stop_test.py
@@ -156,6 +156,59 @@
         host.process.send_signal(signal.SIGCONT)
         self.assert_all_answered(callers, (404,))
 
+    # Connections that the kernel had accepted, and what had been sent on them, were reset when the process ended.
+    def test_requests_that_a_stopping_host_has_not_read_are_answered_before_it_ends(self):
+        self.backend("i-1")
+        host = self.started_host()
+        host.await_log("backend server i-1 ")
+        kept = [self.caller(host) for _ in range(CALLERS)]
+        for number, caller in enumerate(kept):
+            self.assertEqual(200, caller.send(f"a-{number}").read_answer()[0])
+        host.process.terminate()
+        host.await_log("stopping: ")
+        host.process.send_signal(signal.SIGSTOP)
+        # Until the callers' entries of the directory have expired, but not the grace.
+        time.sleep(3.3)
+        callers = kept + [self.caller(host) for _ in range(2 * CALLERS)]
+        for number, caller in enumerate(callers):
+            caller.send(f"b-{number}")
+        host.process.send_signal(signal.SIGCONT)
+        for answer in self.assert_all_answered(callers, (200, 503)):
+            self.assertEqual("close", answer[1].get("Connection"))
+        self.assertEqual(0, host.process.wait(timeout=30))
+
+    # A connection that the host had just accepted was closed as idle before its request arrived.
+    def test_requests_on_connections_that_a_stopping_host_has_just_accepted_are_answered(self):
+        self.backend("i-1")
+        host = self.started_host()
+        host.await_log("backend server i-1 ")
+        lost = []
+        answered = []
+
+        def connect_and_ask():
+            while True:
+                try:
+                    caller = RawCaller(host)
+                except OSError:
+                    return
+                time.sleep(0.02)
+                try:
+                    answer = caller.send("a").read_answer()
+                except OSError:
+                    answer = None
+                caller.close()
+                (lost if answer is None else answered).append(time.monotonic())
+
+        host.process.terminate()
+        threads = [threading.Thread(target=connect_and_ask) for _ in range(CALLERS)]
+        for thread in threads:
+            thread.start()
+        self.assertEqual(0, host.process.wait(timeout=30))
+        for thread in threads:
+            thread.join()
+        self.assertGreater(len(answered), CALLERS)
+        self.assertEqual([], lost)
+
     def keep_asking(self, host, number):
         connection = None
         count = 0
