--- a/testsuite/gateway/planned_stop_test.py
+++ b/testsuite/gateway/planned_stop_test.py
@@ -156,6 +156,22 @@
         host.process.send_signal(signal.SIGCONT)
         self.assert_all_answered(callers, (404,))
 
+    def test_head_that_arrives_while_the_host_is_paused_is_read_before_its_time_is_over(self):
+        limits = config(2)
+        limits["limits"]["headerTimeout"] = "1000ms"
+        self.store.put("op", "config", limits)
+        host = self.started_host()
+        callers = [self.caller(host) for _ in range(MANY_CALLERS)]
+        for caller in callers:
+            caller.socket.sendall(b"GET /none HTTP/1.1\r\n")
+        time.sleep(SETTLE_S)
+        host.process.send_signal(signal.SIGSTOP)
+        time.sleep(1.5)
+        for caller in callers:
+            caller.socket.sendall(b"Host: a.example\r\n\r\n")
+        host.process.send_signal(signal.SIGCONT)
+        self.assert_all_answered(callers, (404,))
+
     # Connections that the kernel had accepted, and what had been sent on them, were reset when the process ended.
     def test_requests_that_a_stopping_host_has_not_read_are_answered_before_it_ends(self):
         self.backend("i-1")
