--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -19,6 +19,9 @@
 // Time for the peer to close the connection after the last response. Closing
 // with unread input would reset the connection, and the response could be lost.
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(1000);
+// Time for the first request after the connection was accepted, in which it is
+// not closed as idle.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(200);
 // Time within which the client's kernel has to acknowledge sent bytes.
 constexpr Duration kClientAckTimeout = std::chrono::seconds(5);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -45,6 +48,7 @@
 
 void HttpSession::Start() {
   ConfigureSocket(socket_, kClientAckTimeout);
+  started_at_ = EventLoop::Now();
   const auto& limits = owner_.limits();
   send_watch_.SetTimeouts(kClientAckTimeout, limits.idle_timeout);
   reader_.set_limits({limits.max_header_bytes, limits.max_body_bytes});
@@ -71,15 +75,39 @@
 }
 
 void HttpSession::OnTimer() {
-  if (lingering_ || idle()) {
+  if (lingering_) {
     Close();
     return;
   }
-  if (exchange_ == nullptr && !writing_) {
+  if (exchange_ != nullptr || writing_) {
+    return;
+  }
+  // After the process was paused, its timers may come before the input that
+  // has arrived meanwhile.
+  const bool was_idle = idle();
+  TakeInput();
+  if (closed_ || lingering_ || exchange_ != nullptr || writing_) {
+    return;
+  }
+  if (idle()) {
+    Close();
+  } else if (!was_idle) {
     Reject(kStatusRequestTimeout);
   }
 }
 
+void HttpSession::CloseIfIdle() {
+  if (closed_ || lingering_ || !idle()) {
+    return;
+  }
+  TakeInput();
+  const bool awaits_first =
+      !used_ && EventLoop::Now() - started_at_ < kFirstRequestTime;
+  if (!closed_ && idle() && !awaits_first) {
+    Linger();
+  }
+}
+
 void HttpSession::AwaitInput() {
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](std::error_code error) {
@@ -95,6 +123,15 @@
 }
 
 void HttpSession::ReadInput() {
+  TakeInput();
+  // With a full buffer, further input stays in the kernel until the response is
+  // written.
+  if (!closed_ && !read_ended_ && pending_input_.size() < kMaxPendingBytes) {
+    AwaitInput();
+  }
+}
+
+void HttpSession::TakeInput() {
   const SocketInput input = ReadAvailable(socket_);
   if (input.error && input.error != asio::error::would_block) {
     OnReadEnd(input.error);
@@ -104,11 +141,6 @@
     pending_input_.append(input.data);
     Parse();
   }
-  // With a full buffer, further input stays in the kernel until the response is
-  // written.
-  if (!closed_ && pending_input_.size() < kMaxPendingBytes) {
-    AwaitInput();
-  }
 }
 
 void HttpSession::Parse() {
@@ -162,6 +194,7 @@
 void HttpSession::Dispatch() {
   CountBufferedBytes(reader_.body().size());
   timer_.Cancel();
+  used_ = true;
   head_request_ = reader_.head().method == "HEAD";
   close_after_write_ = !reader_.head().keep_alive;
   accepts_interim_ = reader_.head().accepts_interim;
