Idle connections keep nothing of their last request

Cause: HttpClient::Send appended the body to the head, a second copy of each request, and the connection kept it after the write, also while it rested in the pool: up to 16 connections a server, for the time until the next use.

Change: head and body are written as two buffers; the body is the one of the exchange, and both are freed once written. HttpReader::Reset frees its body, and a closed connection resets its reader.

--- a/src/include/heathergate/http_client.h
+++ b/src/include/heathergate/http_client.h
@@ -59,6 +59,13 @@
                                  const std::string& echo,
                                  HttpCall::Done done);
 
+  /// As above, without a copy of the body, which is kept until it is written.
+  std::shared_ptr<HttpCall> Send(const HttpPeer& peer,
+                                 std::string head,
+                                 std::shared_ptr<const std::string> body,
+                                 const std::string& echo,
+                                 HttpCall::Done done);
+
   /// Closes the idle connections of a peer.
   void CloseIdle(const std::string& peer_name);
 
--- a/src/include/heathergate/http_exchange.h
+++ b/src/include/heathergate/http_exchange.h
@@ -22,12 +22,16 @@
                heatherlever::Instant received,
                Reply reply)
       : head_(std::move(head)),
-        body_(std::move(body)),
+        body_(std::make_shared<const std::string>(std::move(body))),
         received_(received),
         reply_(std::move(reply)) {}
 
   const HttpHead& head() const { return head_; }
-  const std::string& body() const { return body_; }
+  const std::string& body() const { return *body_; }
+  /// The body, to be sent on without a copy.
+  const std::shared_ptr<const std::string>& shared_body() const {
+    return body_;
+  }
   heatherlever::Instant received() const { return received_; }
 
   /// Sends the response. Ignored after the first call, or if the client has
@@ -59,7 +63,7 @@
 
  private:
   HttpHead head_;
-  std::string body_;
+  std::shared_ptr<const std::string> body_;
   heatherlever::Instant received_;
   Reply reply_;
   std::function<void()> on_abandoned_;
--- a/src/include/heathergate/http_reader.h
+++ b/src/include/heathergate/http_reader.h
@@ -42,7 +42,7 @@
   /// kComplete if that ends the current message, otherwise kMalformed.
   ReadStatus FeedEnd();
 
-  /// Prepares for the next message.
+  /// Prepares for the next message, and frees the memory of the current one.
   void Reset();
 
   /// For the response to a HEAD request, which has no body.
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -177,7 +177,7 @@
       {"host " + host.name, host.caller_endpoint.substr(0, colon),
        static_cast<std::uint16_t>(port)},
       MakeHead({gateway_.options_.names.detour, field.Format()}),
-      exchange_->body(), id_,
+      exchange_->shared_body(), id_,
       [self = weak_from_this(), name = host.name](const CallResult& result) {
         if (const auto request = self.lock()) {
           request->OnDetourDone(name, result);
@@ -312,7 +312,7 @@
   call_ = gateway_.client_.Send(
       {target.id, target.address, target.port},
       MakeHead({gateway_.options_.names.target_server, target.id}),
-      exchange_->body(), id_,
+      exchange_->shared_body(), id_,
       [self = weak_from_this()](const CallResult& result) {
         if (const auto request = self.lock()) {
           request->OnCallDone(result);
--- a/src/libheathergate/http_client.cc
+++ b/src/libheathergate/http_client.cc
@@ -27,14 +27,24 @@
                                            const std::string& body,
                                            const std::string& echo,
                                            HttpCall::Done done) {
+  return Send(peer, std::move(head), std::make_shared<const std::string>(body),
+              echo, std::move(done));
+}
+
+std::shared_ptr<HttpCall> HttpClient::Send(
+    const HttpPeer& peer,
+    std::string head,
+    std::shared_ptr<const std::string> body,
+    const std::string& echo,
+    HttpCall::Done done) {
   auto call = std::make_shared<HttpCall>(std::move(done));
-  head += body;
+  OutgoingRequest request{std::move(head), std::move(body), echo};
   if (const auto idle = TakeIdle(peer.name)) {
-    idle->Reuse(call, std::move(head), echo);
+    idle->Reuse(call, std::move(request));
     return call;
   }
   const auto connection = std::make_shared<HttpConnection>(*this, loop_, peer);
-  connection->Open(call, std::move(head), echo);
+  connection->Open(call, std::move(request));
   return call;
 }
 
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -1,6 +1,8 @@
 #include "libheathergate/http_connection.h"
 
 #include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
 #include <utility>
@@ -41,9 +43,8 @@
                .body_bytes = client.options_.max_body_bytes}) {}
 
 void HttpConnection::Open(std::shared_ptr<HttpCall> call,
-                          std::string request,
-                          std::string echo) {
-  SetCall(std::move(call), std::move(request), std::move(echo));
+                          OutgoingRequest request) {
+  SetCall(std::move(call), std::move(request));
   std::error_code error;
   const auto address = asio::ip::make_address(peer_.address, error);
   if (error) {
@@ -94,32 +95,34 @@
 }
 
 void HttpConnection::Reuse(std::shared_ptr<HttpCall> call,
-                           std::string request,
-                           std::string echo) {
-  SetCall(std::move(call), std::move(request), std::move(echo));
+                           OutgoingRequest request) {
+  SetCall(std::move(call), std::move(request));
   call_->reused_connection_ = true;
   reader_.Reset();
   Write();
 }
 
 void HttpConnection::SetCall(std::shared_ptr<HttpCall> call,
-                             std::string request,
-                             std::string echo) {
+                             OutgoingRequest request) {
   call_ = std::move(call);
   call_->connection_ = shared_from_this();
   request_ = std::move(request);
-  echo_ = std::move(echo);
 }
 
 void HttpConnection::Write() {
   // async_write may send part of the request at once.
   call_->sent_ = true;
   writing_ = true;
-  send_watch_.Start(request_.size());
+  send_watch_.Start(request_.head.size() + request_.body->size());
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(request_.head), asio::buffer(*request_.body)};
   asio::async_write(
-      socket_, asio::buffer(request_),
+      socket_, buffers,
       [self = shared_from_this()](std::error_code error, std::size_t) {
         self->writing_ = false;
+        // An idle connection keeps nothing of its last request.
+        std::string().swap(self->request_.head);
+        self->request_.body = nullptr;
         if (error && !self->closed_) {
           self->unreachable_ = error == asio::error::timed_out;
           self->Fail("write failed: " + error.message());
@@ -191,12 +194,12 @@
 
 bool HttpConnection::EchoMatches() const {
   const std::string& header = client_.options_.echo_header;
-  if (header.empty() || echo_.empty()) {
+  if (header.empty() || request_.echo.empty()) {
     return true;
   }
   const std::string* value =
       const_cast<HttpReader&>(reader_).head().Find(header);
-  return value == nullptr || *value == echo_;
+  return value == nullptr || *value == request_.echo;
 }
 
 void HttpConnection::OnReadEnd(std::error_code error) {
@@ -266,6 +269,7 @@
   }
   closed_ = true;
   call_ = nullptr;
+  reader_.Reset();
   connect_timer_.Cancel();
   send_watch_.Stop();
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -17,6 +17,14 @@
 
 namespace heathergate {
 
+/// A request of an HttpConnection.
+struct OutgoingRequest {
+  std::string head;
+  std::shared_ptr<const std::string> body;
+  /// Value of the header that the response echoes.
+  std::string echo;
+};
+
 /// One connection of an HttpClient: opened for a call and reused for later
 /// ones.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
@@ -26,14 +34,10 @@
                  HttpPeer peer);
 
   /// Connects, then sends the call's request.
-  void Open(std::shared_ptr<HttpCall> call,
-            std::string request,
-            std::string echo);
+  void Open(std::shared_ptr<HttpCall> call, OutgoingRequest request);
 
   /// Sends the next request on an idle connection.
-  void Reuse(std::shared_ptr<HttpCall> call,
-             std::string request,
-             std::string echo);
+  void Reuse(std::shared_ptr<HttpCall> call, OutgoingRequest request);
 
   void Close();
 
@@ -44,9 +48,7 @@
   void set_idle_since(heatherlever::Instant now) { idle_since_ = now; }
 
  private:
-  void SetCall(std::shared_ptr<HttpCall> call,
-               std::string request,
-               std::string echo);
+  void SetCall(std::shared_ptr<HttpCall> call, OutgoingRequest request);
   void OnConnected(std::error_code error);
   void Write();
   void AwaitInput();
@@ -66,8 +68,8 @@
   SendWatch send_watch_;
   HttpReader reader_;
   std::shared_ptr<HttpCall> call_;
-  std::string request_;
-  std::string echo_;
+  // Without head and body once it is written.
+  OutgoingRequest request_;
   bool writing_ = false;
   bool reading_ = false;
   bool closed_ = false;
--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -159,7 +159,8 @@
                                        : HTTP_RESPONSE);
   impl_->parser.data = impl_.get();
   impl_->head = {};
-  impl_->body.clear();
+  // Frees the memory, unlike clear().
+  std::string().swap(impl_->body);
   impl_->head_bytes = 0;
   impl_->started = false;
   impl_->in_value = false;
