Count responses against the memory limit, too

Cause: the count of buffered bytes held requests only. Responses had a limit each, 16 MB, and none together; each was copied twice on its way to the caller and stayed until a slow caller had read it. What was read of a rejected request stayed, uncounted, until its connection closed.

Over it, requests that are being read are rejected (503, not run), and the largest response is dropped, whether it is being read (its call is broken: 502 or a retry) or written (its connection closes before the end). Responses are moved to the caller's connection, not copied. Rejected requests, written responses and the input buffers of idle connections are freed at once.

HttpServer::SetMaxBufferedBytes is replaced by SetBufferBudget. The limit of a server without a budget stays 32 MB for requests.

--- a/src/include/heathergate/gateway_options.h
+++ b/src/include/heathergate/gateway_options.h
@@ -2,6 +2,7 @@
 #define HEATHERGATE_GATEWAY_OPTIONS_H_
 
 #include <cstdint>
+#include <memory>
 
 #include "heathergate/header_names.h"
 #include "heathersteer/placement_options.h"
@@ -10,6 +11,8 @@
 
 namespace heathergate {
 
+class BufferBudget;
+
 /// Options of a Gateway.
 struct GatewayOptions {
   HeaderNames names;
@@ -23,6 +26,8 @@
   heatherlever::Duration max_startup_wait = std::chrono::milliseconds(250);
   /// Maximum number of active requests that other hosts have passed on.
   int max_detoured = 64;
+  /// Counts the responses that are being read; nullptr for no common limit.
+  std::shared_ptr<BufferBudget> buffers;
   /// Seed of the random numbers: jitter of Retry-After, throttling.
   std::uint64_t seed = 0;
 };
--- a/src/include/heathergate/http_client.h
+++ b/src/include/heathergate/http_client.h
@@ -17,6 +17,7 @@
 
 namespace heathergate {
 
+class BufferBudget;
 class HttpConnection;
 
 /// Destination of a call.
@@ -41,6 +42,8 @@
   /// there is none.
   std::string echo_header;
   std::uint64_t max_body_bytes = 16ULL << 20;
+  /// Counts the responses that are being read; nullptr for no common limit.
+  std::shared_ptr<BufferBudget> buffers;
 };
 
 /// An HTTP/1.1 client with a pool of persistent connections; each carries one
--- a/src/include/heathergate/http_server.h
+++ b/src/include/heathergate/http_server.h
@@ -14,6 +14,7 @@
 
 namespace heathergate {
 
+class BufferBudget;
 class HttpExchange;
 struct ListenAddress;
 
@@ -33,9 +34,10 @@
   /// Takes effect from the next message of each connection.
   void SetLimits(const heathersteer::CallerLimits& limits);
 
-  /// Limits the total bytes of the requests that are being read or handled. A
-  /// request that exceeds it is refused with status 503 and is not executed.
-  void SetMaxBufferedBytes(std::size_t bytes);
+  /// Sets the budget that counts requests and responses, before the first
+  /// connection. A request that exceeds it is refused with status 503 and is
+  /// not executed.
+  void SetBufferBudget(std::shared_ptr<BufferBudget> buffers);
 
   /// Closes each connection after its next response.
   void StartLeaving();
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -178,15 +178,15 @@
        static_cast<std::uint16_t>(port)},
       MakeHead({gateway_.options_.names.detour, field.Format()}),
       exchange_->shared_body(), id_,
-      [self = weak_from_this(), name = host.name](const CallResult& result) {
+      [self = weak_from_this(), name = host.name](CallResult result) {
         if (const auto request = self.lock()) {
-          request->OnDetourDone(name, result);
+          request->OnDetourDone(name, std::move(result));
         }
       });
 }
 
 void ForwardedRequest::OnDetourDone(const std::string& host,
-                                    const CallResult& result) {
+                                    CallResult result) {
   call_ = nullptr;
   const Instant now = EventLoop::Now();
   if (ended_) {
@@ -196,7 +196,7 @@
   if (result.outcome == CallOutcome::kAnswered && !broken &&
       result.head.Find(gateway_.options_.names.detour) == nullptr) {
     gateway_.detour_hosts_.RecordHandled(host, now);
-    DeliverDetour(result);
+    DeliverDetour(std::move(result));
     return;
   }
   gateway_.detour_hosts_.RecordUnavailable(host, now);
@@ -212,13 +212,13 @@
 
 // The other host has already replaced statuses of servers that would state
 // falsely that the request has not run.
-void ForwardedRequest::DeliverDetour(const CallResult& result) {
+void ForwardedRequest::DeliverDetour(CallResult result) {
   if (StatesNotRun(result.head.status) && policy_.may_have_run()) {
     Fail(kStatusBadGateway, "outcome unknown");
     return;
   }
   ObserveLeavingElsewhere(result.head);
-  DeliverResponse(HttpResponse::Of(result.head.status, result.body),
+  DeliverResponse(HttpResponse::Of(result.head.status, std::move(result.body)),
                   result.head, {});
 }
 
@@ -313,9 +313,9 @@
       {target.id, target.address, target.port},
       MakeHead({gateway_.options_.names.target_server, target.id}),
       exchange_->shared_body(), id_,
-      [self = weak_from_this()](const CallResult& result) {
+      [self = weak_from_this()](CallResult result) {
         if (const auto request = self.lock()) {
-          request->OnCallDone(result);
+          request->OnCallDone(std::move(result));
         }
       });
 }
@@ -347,7 +347,7 @@
   return text + "\r\n";
 }
 
-void ForwardedRequest::OnCallDone(const CallResult& result) {
+void ForwardedRequest::OnCallDone(CallResult result) {
   call_ = nullptr;
   const AttemptOutcome outcome = ClassifyResult(result);
   UpdateServerHealth(result, outcome);
@@ -356,7 +356,7 @@
   if (ended_) {
     return;
   }
-  Proceed(policy_.After(outcome), result);
+  Proceed(policy_.After(outcome), std::move(result));
 }
 
 AttemptOutcome ForwardedRequest::ClassifyResult(
@@ -545,13 +545,13 @@
   }
 }
 
-void ForwardedRequest::Proceed(NextStep step, const CallResult& result) {
+void ForwardedRequest::Proceed(NextStep step, CallResult result) {
   switch (step) {
     case NextStep::kDeliver:
-      Deliver(result);
+      Deliver(std::move(result));
       return;
     case NextStep::kRetry:
-      Retry(result);
+      Retry(std::move(result));
       return;
     case NextStep::kPlaceAgain:
       Place();
@@ -565,7 +565,7 @@
   }
 }
 
-void ForwardedRequest::Retry(const CallResult& result) {
+void ForwardedRequest::Retry(CallResult result) {
   const Instant now = EventLoop::Now();
   if (gateway_.Budget(service_.name).TryRetry(now, gateway_.host_count_)) {
     ++gateway_.counters_.retries;
@@ -573,14 +573,15 @@
     return;
   }
   if (result.outcome == CallOutcome::kAnswered && policy_.may_have_run()) {
-    Deliver(result);
+    Deliver(std::move(result));
     return;
   }
-  Proceed(policy_.WithoutRetry(), result);
+  Proceed(policy_.WithoutRetry(), std::move(result));
 }
 
-void ForwardedRequest::Deliver(const CallResult& result) {
-  HttpResponse response = HttpResponse::Of(result.head.status, result.body);
+void ForwardedRequest::Deliver(CallResult result) {
+  HttpResponse response =
+      HttpResponse::Of(result.head.status, std::move(result.body));
   const bool changed = StatesNotRun(response.status);
   if (changed) {
     // The request has run, so a status that states the contrary isn't passed
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -49,13 +49,13 @@
   // Passes the request on to another host, which reaches the servers.
   void Detour();
   void SendDetour(const heathersteer::HostRegistration& host);
-  void OnDetourDone(const std::string& host, const CallResult& result);
-  void DeliverDetour(const CallResult& result);
+  void OnDetourDone(const std::string& host, CallResult result);
+  void DeliverDetour(CallResult result);
   // Ends the request, for which no server was found.
   void EndUnplaced(const char* reason);
   void Send(std::shared_ptr<heathersteer::ServerState> server);
   std::string MakeHead(const HeaderField& target) const;
-  void OnCallDone(const CallResult& result);
+  void OnCallDone(CallResult result);
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
   void ObserveLeaving(const CallResult& result, heatherlever::Instant now);
@@ -68,9 +68,9 @@
   void RecordCompletion();
   void UpdateServerHealth(const CallResult& result,
                           heathersteer::AttemptOutcome outcome);
-  void Proceed(heathersteer::NextStep step, const CallResult& result);
-  void Retry(const CallResult& result);
-  void Deliver(const CallResult& result);
+  void Proceed(heathersteer::NextStep step, CallResult result);
+  void Retry(CallResult result);
+  void Deliver(CallResult result);
   // Passes on a response with the fields of `head` but `dropped_field`.
   void DeliverResponse(HttpResponse response,
                        const HttpHead& head,
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -39,6 +39,7 @@
 HttpClientOptions ClientOptions(const GatewayOptions& options) {
   HttpClientOptions client;
   client.echo_header = options.names.request_id;
+  client.buffers = options.buffers;
   return client;
 }
 
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -40,7 +40,10 @@
       send_watch_(loop, socket_),
       reader_(HttpReader::Kind::kResponse,
               {.head_bytes = kMaxHeadBytes,
-               .body_bytes = client.options_.max_body_bytes}) {}
+               .body_bytes = client.options_.max_body_bytes}),
+      response_hold_(client.options_.buffers, [this] {
+        Fail("the host's buffers are full, and the response was the largest");
+      }) {}
 
 void HttpConnection::Open(std::shared_ptr<HttpCall> call,
                           OutgoingRequest request) {
@@ -170,6 +173,8 @@
     const ReadStatus status = reader_.Feed(data, &used);
     data.remove_prefix(used);
     if (status == ReadStatus::kNeedMore) {
+      // May drop this response.
+      response_hold_.HoldResponse(reader_.body().size());
       return;
     }
     if (status != ReadStatus::kComplete) {
@@ -187,6 +192,7 @@
     // one may follow.
     unexpected_input_ = true;
     reader_.Reset();
+    response_hold_.Release();
     return;
   }
   Succeed();
@@ -241,6 +247,8 @@
   const bool reuse = result.head.keep_alive && !writing_ && !unexpected_input_;
   const auto call = std::exchange(call_, nullptr);
   reader_.Reset();
+  // The receiver of the response counts it from now on.
+  response_hold_.Release();
   if (reuse) {
     client_.AddIdle(shared_from_this());
   } else {
@@ -270,6 +278,7 @@
   closed_ = true;
   call_ = nullptr;
   reader_.Reset();
+  response_hold_.Release();
   connect_timer_.Cancel();
   send_watch_.Stop();
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "heathergate/buffer_hold.h"
 #include "heathergate/http_call.h"
 #include "heathergate/http_client.h"
 #include "heathergate/http_reader.h"
@@ -70,6 +71,7 @@
   std::shared_ptr<HttpCall> call_;
   // Without head and body once it is written.
   OutgoingRequest request_;
+  BufferHold response_hold_;
   bool writing_ = false;
   bool reading_ = false;
   bool closed_ = false;
--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "heathergate/buffer_budget.h"
 #include "heathergate/http_exchange.h"
 #include "heathergate/listen_address.h"
 #include "heathergate/timer.h"
@@ -24,8 +25,9 @@
 using asio::ip::tcp;
 using heathernet::EventLoop;
 
-// Limit for buffered requests if the memory of the host is not known.
-constexpr std::size_t kDefaultMaxBufferedBytes = 32 << 20;
+// Limits of the budget of a server that was given none.
+constexpr std::size_t kDefaultMaxBufferedBytes = 48 << 20;
+constexpr std::size_t kDefaultMaxRequestBytes = 32 << 20;
 // Delay after a failed accept, which is mostly caused by a lack of file
 // descriptors.
 constexpr heatherlever::Duration kAcceptRetryDelay =
@@ -131,15 +133,14 @@
     limits_ = limits;
   }
   void set_leaving() { leaving_ = true; }
-  void set_max_buffered_bytes(std::size_t bytes) {
-    max_buffered_bytes_ = bytes;
+  void set_buffers(std::shared_ptr<BufferBudget> buffers) {
+    buffers_ = std::move(buffers);
   }
 
   const heathersteer::CallerLimits& limits() const override { return limits_; }
   bool leaving() const override { return leaving_; }
-  bool AddBufferedBytes(std::ptrdiff_t bytes) override {
-    buffered_bytes_ += bytes;
-    return buffered_bytes_ <= static_cast<std::ptrdiff_t>(max_buffered_bytes_);
+  const std::shared_ptr<BufferBudget>& buffers() const override {
+    return buffers_;
   }
   void Handle(std::shared_ptr<HttpExchange> exchange) override {
     handler_(std::move(exchange));
@@ -205,8 +206,9 @@
   bool listen_failed_ = false;
   heathersteer::CallerLimits limits_;
   std::set<std::shared_ptr<HttpSession>> sessions_;
-  std::size_t max_buffered_bytes_ = kDefaultMaxBufferedBytes;
-  std::ptrdiff_t buffered_bytes_ = 0;
+  std::shared_ptr<BufferBudget> buffers_ =
+      std::make_shared<BufferBudget>(kDefaultMaxBufferedBytes,
+                                     kDefaultMaxRequestBytes);
   bool leaving_ = false;
 };
 
@@ -225,8 +227,8 @@
   impl_->set_limits(limits);
 }
 
-void HttpServer::SetMaxBufferedBytes(std::size_t bytes) {
-  impl_->set_max_buffered_bytes(bytes);
+void HttpServer::SetBufferBudget(std::shared_ptr<BufferBudget> buffers) {
+  impl_->set_buffers(std::move(buffers));
 }
 
 void HttpServer::StartLeaving() {
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -1,5 +1,7 @@
 #include "libheathergate/http_session.h"
 
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <utility>
 
@@ -16,6 +18,8 @@
 
 // Maximum bytes of later requests that are buffered while one is in progress.
 constexpr std::size_t kMaxPendingBytes = 65536;
+// Capacity that a connection keeps for input while it has none.
+constexpr std::size_t kMaxIdleInputBytes = 4096;
 // Time for the peer to close the connection after the last response. Closing
 // with unread input would reset the connection, and the response could be lost.
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(1000);
@@ -41,7 +45,12 @@
       timer_(loop),
       probe_timer_(loop),
       send_watch_(loop, socket_),
-      reader_(HttpReader::Kind::kRequest, {}) {}
+      reader_(HttpReader::Kind::kRequest, {}),
+      hold_(owner.buffers(), [this] {
+        // Closing removes the owner's reference.
+        const auto self = shared_from_this();
+        Close();
+      }) {}
 
 void HttpSession::Start() {
   ConfigureSocket(socket_, kClientAckTimeout);
@@ -135,7 +144,8 @@
     case ReadStatus::kNeedMore:
       break;
   }
-  if (!CountBufferedBytes(reader_.body().size())) {
+  if (!hold_.HoldRequest(reader_.body().size())) {
+    hold_.RecordRejection();
     Reject(kStatusUnavailable);
     return;
   }
@@ -152,24 +162,17 @@
   }
 }
 
-bool HttpSession::CountBufferedBytes(std::size_t bytes) {
-  const auto change = static_cast<std::ptrdiff_t>(bytes) -
-                      static_cast<std::ptrdiff_t>(buffered_bytes_);
-  buffered_bytes_ = bytes;
-  return owner_.AddBufferedBytes(change);
-}
-
 void HttpSession::Dispatch() {
-  CountBufferedBytes(reader_.body().size());
+  hold_.HoldRequest(reader_.body().size());
   timer_.Cancel();
   head_request_ = reader_.head().method == "HEAD";
   close_after_write_ = !reader_.head().keep_alive;
   accepts_interim_ = reader_.head().accepts_interim;
   exchange_ = std::make_shared<HttpExchange>(
       std::move(reader_.head()), std::move(reader_.body()), EventLoop::Now(),
-      [self = weak_from_this()](const HttpResponse& response) {
+      [self = weak_from_this()](HttpResponse response) {
         if (const auto session = self.lock()) {
-          session->Reply(response);
+          session->Reply(std::move(response));
         }
       });
   exchange_->SetClientCheck([self = weak_from_this()] {
@@ -262,41 +265,50 @@
 void HttpSession::Reject(int status) {
   HttpResponse response = HttpResponse::Of(status);
   response.close = true;
-  Write(response);
+  // What was read of the request is not needed while the connection lingers.
+  reader_.Reset();
+  ShrinkPendingInput();
+  Write(std::move(response));
 }
 
-void HttpSession::Reply(const HttpResponse& response) {
+void HttpSession::Reply(HttpResponse response) {
   exchange_ = nullptr;
   if (!closed_) {
-    Write(response);
+    Write(std::move(response));
   }
 }
 
-void HttpSession::Write(const HttpResponse& response) {
+void HttpSession::Write(HttpResponse response) {
   close_after_write_ = close_after_write_ || response.close ||
                        owner_.leaving() ||
                        (read_ended_ && pending_input_.empty());
   probe_timer_.Cancel();
-  output_ = "HTTP/1.1 " + std::to_string(response.status) + " " +
-            ReasonPhrase(response.status) + "\r\n";
+  output_head_ = "HTTP/1.1 " + std::to_string(response.status) + " " +
+                 ReasonPhrase(response.status) + "\r\n";
   for (const HeaderField& field : response.fields) {
-    output_ += field.name + ": " + field.value + "\r\n";
+    output_head_ += field.name + ": " + field.value + "\r\n";
   }
   if (HasBody(response.status)) {
-    output_ +=
+    output_head_ +=
         "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   }
   if (close_after_write_) {
-    output_ += "Connection: close\r\n";
+    output_head_ += "Connection: close\r\n";
   }
-  output_ += "\r\n";
+  output_head_ += "\r\n";
   if (HasBody(response.status) && !head_request_) {
-    output_ += response.body;
+    output_body_ = std::move(response.body);
   }
   writing_ = true;
-  send_watch_.Start(output_.size());
+  send_watch_.Start(output_head_.size() + output_body_.size());
+  hold_.HoldResponse(output_body_.size());
+  if (closed_) {
+    return;
+  }
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(output_head_), asio::buffer(output_body_)};
   asio::async_write(
-      socket_, asio::buffer(output_),
+      socket_, buffers,
       [self = shared_from_this()](std::error_code error, std::size_t) {
         self->OnWritten(error);
       });
@@ -304,8 +316,9 @@
 
 void HttpSession::OnWritten(std::error_code error) {
   writing_ = false;
-  output_.clear();
-  CountBufferedBytes(0);
+  output_head_.clear();
+  std::string().swap(output_body_);
+  hold_.Release();
   if (closed_) {
     return;
   }
@@ -335,14 +348,23 @@
   if (peer_state_ == PeerState::kProbed && exchange_ != nullptr) {
     AwaitProbe();
   }
+  ShrinkPendingInput();
   if (was_full && !closed_) {
     AwaitInput();
   }
 }
 
+void HttpSession::ShrinkPendingInput() {
+  if (pending_input_.empty() &&
+      pending_input_.capacity() > kMaxIdleInputBytes) {
+    std::string().swap(pending_input_);
+  }
+}
+
 void HttpSession::Linger() {
   lingering_ = true;
   pending_input_.clear();
+  ShrinkPendingInput();
   std::error_code ignored;  // NOLINT: the peer may have closed already.
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   StartTimer();
@@ -369,7 +391,7 @@
   timer_.Cancel();
   probe_timer_.Cancel();
   send_watch_.Stop();
-  CountBufferedBytes(0);
+  hold_.Release();
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
   socket_.close(ignored);
   if (const auto exchange = std::exchange(exchange_, nullptr)) {
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "heathergate/buffer_hold.h"
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_reader.h"
 #include "heathergate/http_response.h"
@@ -21,6 +22,7 @@
 
 namespace heathergate {
 
+class BufferBudget;
 class SessionOwner;
 
 /// One connection of an HttpServer.
@@ -52,11 +54,11 @@
   void AwaitProbe();
   void AwaitError();
   void Reject(int status);
-  void Reply(const HttpResponse& response);
-  void Write(const HttpResponse& response);
+  void Reply(HttpResponse response);
+  void Write(HttpResponse response);
   void OnWritten(std::error_code error);
   void Linger();
-  bool CountBufferedBytes(std::size_t bytes);
+  void ShrinkPendingInput();
   void StartTimer();
   void OnTimer();
 
@@ -72,9 +74,11 @@
   std::shared_ptr<HttpExchange> exchange_;
   // Received bytes that are not parsed yet, such as pipelined requests.
   std::string pending_input_;
-  std::string output_;
-  // Bytes of the current request in the owner's count.
-  std::size_t buffered_bytes_ = 0;
+  // Head and body of the response that is being written.
+  std::string output_head_;
+  std::string output_body_;
+  // Counts the current request, then its response.
+  BufferHold hold_;
   PeerState peer_state_ = PeerState::kOpen;
   // Sent bytes that are acknowledged once the peer has answered the probe.
   std::uint64_t probe_end_ = 0;
@@ -96,9 +100,7 @@
   virtual ~SessionOwner() = default;
   virtual const heathersteer::CallerLimits& limits() const = 0;
   virtual bool leaving() const = 0;
-  /// Adds to the count of buffered request bytes; negative values release
-  /// bytes. Returns whether all sessions together are within the limit.
-  virtual bool AddBufferedBytes(std::ptrdiff_t bytes) = 0;
+  virtual const std::shared_ptr<BufferBudget>& buffers() const = 0;
   virtual void Handle(std::shared_ptr<HttpExchange> exchange) = 0;
   virtual void Remove(const std::shared_ptr<HttpSession>& session) = 0;
 };
