--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -1,6 +1,8 @@
 #include "libheathergate/http_connection.h"
 
 #include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
 #include <utility>
@@ -38,12 +40,14 @@
       send_watch_(loop, socket_),
       reader_(HttpReader::Kind::kResponse,
               {.head_bytes = kMaxHeadBytes,
-               .body_bytes = client.options_.max_body_bytes}) {}
+               .body_bytes = client.options_.max_body_bytes}),
+      response_hold_(client.options_.buffers, [this] {
+        Fail("the host's buffers are full, and the response was the largest");
+      }) {}
 
 void HttpConnection::Open(std::shared_ptr<HttpCall> call,
-                          std::string request,
-                          std::string echo) {
-  SetCall(std::move(call), std::move(request), std::move(echo));
+                          OutgoingRequest request) {
+  SetCall(std::move(call), std::move(request));
   std::error_code error;
   const auto address = asio::ip::make_address(peer_.address, error);
   if (error) {
@@ -94,32 +98,34 @@
 }
 
 void HttpConnection::Reuse(std::shared_ptr<HttpCall> call,
-                           std::string request,
-                           std::string echo) {
-  SetCall(std::move(call), std::move(request), std::move(echo));
+                           OutgoingRequest request) {
+  SetCall(std::move(call), std::move(request));
   call_->reused_connection_ = true;
   reader_.Reset();
   Write();
 }
 
 void HttpConnection::SetCall(std::shared_ptr<HttpCall> call,
-                             std::string request,
-                             std::string echo) {
+                             OutgoingRequest request) {
   call_ = std::move(call);
   call_->connection_ = shared_from_this();
   request_ = std::move(request);
-  echo_ = std::move(echo);
 }
 
 void HttpConnection::Write() {
   // async_write may send part of the request at once.
   call_->sent_ = true;
   writing_ = true;
-  send_watch_.Start(request_.size());
+  send_watch_.Start(request_.head.size() + request_.body->size());
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(request_.head), asio::buffer(*request_.body)};
   asio::async_write(
-      socket_, asio::buffer(request_),
+      socket_, buffers,
       [self = shared_from_this()](std::error_code error, std::size_t) {
         self->writing_ = false;
+        // An idle connection keeps nothing of its last request.
+        std::string().swap(self->request_.head);
+        self->request_.body = nullptr;
         if (error && !self->closed_) {
           self->unreachable_ = error == asio::error::timed_out;
           self->Fail("write failed: " + error.message());
@@ -167,6 +173,8 @@
     const ReadStatus status = reader_.Feed(data, &used);
     data.remove_prefix(used);
     if (status == ReadStatus::kNeedMore) {
+      // May drop this response.
+      response_hold_.HoldResponse(reader_.body().size());
       return;
     }
     if (status != ReadStatus::kComplete) {
@@ -184,6 +192,7 @@
     // one may follow.
     unexpected_input_ = true;
     reader_.Reset();
+    response_hold_.Release();
     return;
   }
   Succeed();
@@ -191,12 +200,12 @@
 
 bool HttpConnection::EchoMatches() const {
   const std::string& header = client_.options_.echo_header;
-  if (header.empty() || echo_.empty()) {
+  if (header.empty() || request_.echo.empty()) {
     return true;
   }
   const std::string* value =
       const_cast<HttpReader&>(reader_).head().Find(header);
-  return value == nullptr || *value == echo_;
+  return value == nullptr || *value == request_.echo;
 }
 
 void HttpConnection::OnReadEnd(std::error_code error) {
@@ -238,6 +247,8 @@
   const bool reuse = result.head.keep_alive && !writing_ && !unexpected_input_;
   const auto call = std::exchange(call_, nullptr);
   reader_.Reset();
+  // The receiver of the response counts it from now on.
+  response_hold_.Release();
   if (reuse) {
     client_.AddIdle(shared_from_this());
   } else {
@@ -266,6 +277,8 @@
   }
   closed_ = true;
   call_ = nullptr;
+  reader_.Reset();
+  response_hold_.Release();
   connect_timer_.Cancel();
   send_watch_.Stop();
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
