Callers that have ended their sending side and read slowly are not gone

A caller sent two requests and ended its sending side, and read the first response late: the probe for the second request waited behind that response, and after 250 ms the caller was taken for gone. A request whose FIN had come while a response was written was not probed at all, and one that waited for the result of a probe longer than for a place was rejected as if there were no room.

half_closed_caller_test, the pipelined request of a caller that reads slowly: failed before, passes now. With nothing in flight and no reset, the peer is alive and has no room. The other two are by reading.

--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -137,10 +137,20 @@
     return;
   }
   ticket_ = gateway_.Enqueue(this, service_.name, route_.rank);
-  queue_timer_.Start(heathersteer::MaxQueueTime(route_), [this] {
+  queue_timer_.Start(heathersteer::MaxQueueTime(route_),
+                     [this] { OnQueueTimeout(); });
+}
+
+void ForwardedRequest::OnQueueTimeout() {
+  if (exchange_->CheckClient()) {
     LogNoCapacity();
     EndUnplaced("no room");
-  });
+  } else if (!ended_) {
+    // Whether the caller still waits is not known yet, so the request could not
+    // be sent.
+    gateway_.Dequeue(std::exchange(ticket_, 0));
+    Enqueue();
+  }
 }
 
 void ForwardedRequest::Detour() {
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -55,6 +55,7 @@
   void Place();
   // Waits for a place, at most as long as the route allows.
   void Enqueue();
+  void OnQueueTimeout();
   // Passes the request on to another host, which reaches the servers.
   void Detour();
   void SendDetour(const heathersteer::HostRegistration& host);
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -273,7 +273,13 @@
     return;
   }
   if (EventLoop::Now() - probed_at_ >= kProbeTimeout) {
-    Close();
+    if (sent->in_flight) {
+      Close();
+    } else {
+      // The probe waits behind a response that the peer, which is alive, has
+      // not read yet.
+      peer_state_ = PeerState::kWaiting;
+    }
     return;
   }
   probe_timer_.Start(kProbeInterval, [self = weak_from_this()] {
@@ -394,7 +400,7 @@
     Close();
     return;
   }
-  if (peer_state_ == PeerState::kProbed && exchange_ != nullptr) {
+  if (exchange_ != nullptr && peer_state_ == PeerState::kProbed) {
     AwaitProbe();
   }
   ShrinkPendingInput();
@@ -402,6 +408,9 @@
     AwaitInput();
   }
 }
+  } else if (exchange_ != nullptr && read_ended_ &&
+             peer_state_ == PeerState::kOpen) {
+    ProbePeer();
 
 void HttpSession::ShrinkPendingInput() {
   if (pending_input_.empty() &&
--- a/testsuite/gateway/half_closed_caller_test.py
+++ b/testsuite/gateway/half_closed_caller_test.py
@@ -114,6 +114,27 @@
         self.assertEqual(stream.count(b"HTTP/1.1 200 "), 2, stream)
         self.assertEqual(self.ids(), ["a", "b"])
 
+    # The probe waited behind the first response, and the caller was taken for one that had left.
+    def test_pipelined_request_of_a_caller_that_reads_slowly_is_served(self):
+        self.body = b"z" * 300000
+        host = self.started()
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.settimeout(20)
+        caller.connect(("127.0.0.1", host.caller_port))
+        self.send(caller, "first")
+        host.await_log("id=first ")
+        self.send(caller, "half")
+        caller.shutdown(socket.SHUT_WR)
+        self.await_seen("half")
+        time.sleep(1)
+        self.free.set()
+        received = caller.makefile("rb").read()
+        self.assertEqual(received.count(b"HTTP/1.1 200 OK"), 2)
+        self.assertEqual(received.count(b"z"), 2 * len(self.body))
+        self.assertEqual(host.metric("heather_abandoned_total"), 0)
+
     def test_request_is_probed_once(self):
         host = self.started()
         caller = self.connected(host)
