Count a host that is not registered yet among the hosts

Found by the review, by reading: a host whose relay address is taken reads the registrations before its own is written, and divided limits and retry budgets by the others alone.

--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -299,9 +299,13 @@
   SetPeers(known);
   listener_.on_hosts(known);
   limit_exchange_->SetHosts(relay_order_.self(), known);
-  SetHostCount(std::max(1, static_cast<int>(known.size())));
-  spdlog::info("{} hosts are registered", host_count_);
   const HostRegistration& self = relay_order_.self();
+  const bool listed = std::any_of(
+      known.begin(), known.end(),
+      [&](const HostRegistration& host) { return host.name == self.name; });
+  // This host counts although it may not be registered yet.
+  SetHostCount(static_cast<int>(known.size()) + (listed ? 0 : 1));
+  spdlog::info("{} hosts are registered", host_count_);
   if (!registering_ && hosts_.IsLost(self.name, self.registration_version)) {
     spdlog::warn("the store has lost the registration of {}", self.name);
     Register();
