Give callers of a stopping host the time to send and to read

Found by the review. New connections get 1 s instead of 0.2 s for their first request, as a busy caller may need more. A caller that still sends its request when it is rejected lost the response to a reset 1 s later; the time now begins anew with what it sends, up to the idle timeout.

planned_stop_test passes.

--- a/src/include/heathergate/http_server.h
+++ b/src/include/heathergate/http_server.h
@@ -19,8 +19,8 @@
 struct ListenAddress;
 
 /// An HTTP/1.1 server on one address, with persistent connections. If a client
-/// disconnects before its response, the exchange is told. While the address is
-/// not available, the server tries to listen again and again.
+/// disconnects before its response, the exchange is told. If the address is not
+/// available, the server retries until it is bound.
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -20,12 +20,13 @@
 constexpr std::size_t kMaxPendingBytes = 65536;
 // Capacity that a connection keeps for input while it has none.
 constexpr std::size_t kMaxIdleInputBytes = 4096;
-// Time for the peer to close the connection after the last response. Closing
-// with unread input would reset the connection, and the response could be lost.
+// Time without input after the last response for the peer to close the
+// connection. Closing with unread input would reset the connection, and the
+// response could be lost.
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(1000);
 // Time for the first request after the connection was accepted, in which it is
 // not closed as idle.
-constexpr Duration kFirstRequestTime = std::chrono::milliseconds(200);
+constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
 // Time within which the client's kernel has to acknowledge sent bytes.
 constexpr Duration kClientAckTimeout = std::chrono::seconds(5);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -146,7 +147,12 @@
     OnReadEnd(input.error);
     return;
   }
-  if (!lingering_ && !close_after_write_) {
+  if (lingering_) {
+    // A peer that still sends a request would lose the response to it.
+    if (EventLoop::Now() - lingering_since_ < owner_.limits().idle_timeout) {
+      StartTimer();
+    }
+  } else if (!close_after_write_) {
     pending_input_.append(input.data);
     Parse();
   }
@@ -322,18 +328,6 @@
   }
 }
 
-void HttpSession::Write(HttpResponse response) {
-  close_after_write_ = close_after_write_ || response.close ||
-                       owner_.leaving() ||
-                       (read_ended_ && pending_input_.empty());
-  probe_timer_.Cancel();
-  output_head_ = "HTTP/1.1 " + std::to_string(response.status) + " " +
-                 ReasonPhrase(response.status) + "\r\n";
-  for (const HeaderField& field : response.fields) {
-    output_head_ += field.name + ": " + field.value + "\r\n";
-  }
-  if (HasBody(response.status)) {
-    output_head_ +=
 void HttpSession::OnResponseDropped() {
   if (holding_response_) {
     response_dropped_ = true;
@@ -342,7 +336,7 @@
   }
 }
 
-        "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+void HttpSession::Write(HttpResponse response) {
   response_dropped_ = false;
   holding_response_ = true;
   hold_.HoldResponse(response.body.size());
@@ -350,6 +344,18 @@
   if (response_dropped_) {
     response = HttpResponse::Of(kStatusBadGateway);
   }
+  close_after_write_ = close_after_write_ || response.close ||
+                       owner_.leaving() ||
+                       (read_ended_ && pending_input_.empty());
+  probe_timer_.Cancel();
+  output_head_ = "HTTP/1.1 " + std::to_string(response.status) + " " +
+                 ReasonPhrase(response.status) + "\r\n";
+  for (const HeaderField& field : response.fields) {
+    output_head_ += field.name + ": " + field.value + "\r\n";
+  }
+  if (HasBody(response.status)) {
+    output_head_ +=
+        "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   }
   if (close_after_write_) {
     output_head_ += "Connection: close\r\n";
@@ -402,15 +408,15 @@
   }
   if (exchange_ != nullptr && peer_state_ == PeerState::kProbed) {
     AwaitProbe();
+  } else if (exchange_ != nullptr && read_ended_ &&
+             peer_state_ == PeerState::kOpen) {
+    ProbePeer();
   }
   ShrinkPendingInput();
   if (was_full && !closed_) {
     AwaitInput();
   }
 }
-  } else if (exchange_ != nullptr && read_ended_ &&
-             peer_state_ == PeerState::kOpen) {
-    ProbePeer();
 
 void HttpSession::ShrinkPendingInput() {
   if (pending_input_.empty() &&
@@ -421,6 +427,7 @@
 
 void HttpSession::Linger() {
   lingering_ = true;
+  lingering_since_ = EventLoop::Now();
   pending_input_.clear();
   ShrinkPendingInput();
   std::error_code ignored;  // NOLINT: the peer may have closed already.
