--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -8,8 +8,8 @@
 find_package(spdlog REQUIRED)
 find_package(yaml-cpp REQUIRED)
 
-# Abseil's archives in place of its two dozen shared libraries, which take most of
-# the time that the dynamic linker needs to start a program.
+# Abseil's archives in place of its two dozen shared libraries, which the dynamic
+# linker would load at every start.
 get_property(imported_targets DIRECTORY PROPERTY IMPORTED_TARGETS)
 list(FILTER imported_targets INCLUDE REGEX "^absl::")
 foreach(target IN LISTS imported_targets)
