--- a/src/include/heathergate/buffer_hold.h
+++ b/src/include/heathergate/buffer_hold.h
@@ -13,7 +13,7 @@
 class BufferHold {
  public:
   /// `drop` is called if the budget drops the held response; it ends the
-  /// connection. Without a budget nothing is counted.
+  /// connection or replaces the response. Without a budget nothing is counted.
   BufferHold(std::shared_ptr<BufferBudget> budget, std::function<void()> drop);
   ~BufferHold();
   BufferHold(const BufferHold&) = delete;
