Responses without a body end with their head

Cause: the client side read the body that the fields announced; it knew neither the method of the request nor the statuses that have no body (RFC 9112, 6.3). The caller's side knew both.

Change: HttpConnection tells its reader of a HEAD request, also after interim and late responses; the reader skips the body of 1xx, 204 and 304. The response to a HEAD request names the server's Content-Length; it named 0.

--- a/src/include/heathergate/http_reader.h
+++ b/src/include/heathergate/http_reader.h
@@ -45,7 +45,7 @@
   /// Prepares for the next message, and frees the memory of the current one.
   void Reset();
 
-  /// For the response to a HEAD request, which has no body.
+  /// The next message is the response to a HEAD request, which has no body.
   void ExpectNoBody();
 
   void set_limits(ReadLimits limits);
--- a/src/include/heathergate/http_response.h
+++ b/src/include/heathergate/http_response.h
@@ -17,6 +17,8 @@
   int status = 200;
   std::vector<HeaderField> fields;
   std::string body;
+  /// Content-Length of a response to a HEAD request; if empty, the body's.
+  std::string stated_length;
   /// Whether the connection is closed after this response.
   bool close = false;
 };
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -638,6 +638,7 @@
       response.fields.push_back(field);
     }
   }
+  response.stated_length = head.Value("Content-Length");
   if (detoured_ && !leaving_server_.empty()) {
     response.fields.push_back({names.leaving_server, leaving_server_});
   }
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -23,6 +23,7 @@
 // Share of the keep-alive time announced by the peer during which a connection
 // is reused, so that no request is sent while the peer closes the connection.
 constexpr double kKeepAliveShare = 0.6;
+constexpr std::string_view kHeadMethod = "HEAD ";
 // Time for which a peer may accept no bytes of a request. Calls have deadlines
 // of their own.
 constexpr Duration kStallTimeout = std::chrono::seconds(60);
@@ -101,7 +102,6 @@
                            OutgoingRequest request) {
   SetCall(std::move(call), std::move(request));
   call_->reused_connection_ = true;
-  reader_.Reset();
   Write();
 }
 
@@ -110,6 +110,15 @@
   call_ = std::move(call);
   call_->connection_ = shared_from_this();
   request_ = std::move(request);
+  head_request_ = request_.head.starts_with(kHeadMethod);
+  ResetReader();
+}
+
+void HttpConnection::ResetReader() {
+  reader_.Reset();
+  if (head_request_) {
+    reader_.ExpectNoBody();
+  }
 }
 
 void HttpConnection::Write() {
@@ -191,7 +200,7 @@
     // A late or duplicate response to an earlier request; the response to this
     // one may follow.
     unexpected_input_ = true;
-    reader_.Reset();
+    ResetReader();
     response_hold_.Release();
     return;
   }
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -50,6 +50,7 @@
 
  private:
   void SetCall(std::shared_ptr<HttpCall> call, OutgoingRequest request);
+  void ResetReader();
   void OnConnected(std::error_code error);
   void Write();
   void AwaitInput();
@@ -71,6 +72,7 @@
   std::shared_ptr<HttpCall> call_;
   // Without head and body once it is written.
   OutgoingRequest request_;
+  bool head_request_ = false;
   BufferHold response_hold_;
   bool writing_ = false;
   bool reading_ = false;
--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -6,6 +6,7 @@
 #include <cctype>
 
 #include "heathergate/http_head.h"
+#include "heathergate/http_status.h"
 
 namespace heathergate {
 
@@ -53,6 +54,13 @@
   return bytes;
 }
 
+// Whether a response with this status ends with its head, whatever its fields
+// say (RFC 9112, 6.3).
+bool EndsWithHead(int status) {
+  return status < kFirstFinalStatus || status == kStatusNoContent ||
+         status == kStatusNotModified;
+}
+
 template <typename Impl>
 Impl& ImplOf(http_parser* parser) {
   return *static_cast<Impl*>(parser->data);
@@ -89,7 +97,6 @@
   static int OnHeadersComplete(http_parser* parser) {
     Impl& impl = ImplOf<Impl>(parser);
     impl.head_complete = true;
-    impl.head.keep_alive = http_should_keep_alive(parser) != 0;
     impl.head.accepts_interim =
         parser->http_major > 1 ||
         (parser->http_major == 1 && parser->http_minor >= 1);
@@ -115,7 +122,9 @@
       impl.body_too_large = true;
       return kStopParser;
     }
-    return impl.no_body ? kSkipBody : kReadBody;
+    const bool skip = impl.no_body || (parser->type == HTTP_RESPONSE &&
+                                       EndsWithHead(impl.head.status));
+    return skip ? kSkipBody : kReadBody;
   }
 
   static int OnBody(http_parser* parser, const char* at, size_t length) {
@@ -131,6 +140,7 @@
   static int OnMessageComplete(http_parser* parser) {
     Impl& impl = ImplOf<Impl>(parser);
     impl.complete = true;
+    impl.head.keep_alive = http_should_keep_alive(parser) != 0;
     http_parser_pause(parser, 1);
     return 0;
   }
@@ -166,6 +176,7 @@
   impl_->in_value = false;
   impl_->head_complete = false;
   impl_->complete = false;
+  impl_->no_body = false;
   impl_->head_too_large = false;
   impl_->body_too_large = false;
 }
@@ -189,7 +200,9 @@
       if (impl_->kind == Kind::kRequest || status >= kFirstFinalStatus) {
         return ReadStatus::kComplete;
       }
+      const bool no_body = impl_->no_body;
       Reset();
+      impl_->no_body = no_body;
       continue;
     }
     if (HTTP_PARSER_ERRNO(&impl_->parser) != HPE_OK ||
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -354,8 +354,11 @@
     output_head_ += field.name + ": " + field.value + "\r\n";
   }
   if (HasBody(response.status)) {
-    output_head_ +=
-        "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    output_head_ += "Content-Length: " +
+                    (head_request_ && !response.stated_length.empty()
+                         ? response.stated_length
+                         : std::to_string(response.body.size())) +
+                    "\r\n";
   }
   if (close_after_write_) {
     output_head_ += "Connection: close\r\n";
--- /dev/null
+++ b/testsuite/gateway/bodiless_response_test.py
@@ -0,0 +1,66 @@
+"""Responses that have no body, though they may name the length that one would have."""
+
+from gateway_harness import GatewayTestCase
+from standins import REQUEST_ID, make_response
+
+
+class BodilessResponseTestCase(GatewayTestCase):
+    def setUp(self):
+        super().setUp()
+        self.server = self.backend("i-1")
+        self.entry = self.started_host()
+        self.entry.await_log("backend server i-1 ")
+
+    def behave_as(self, status, version="HTTP/1.1"):
+        """Responses name a Content-Length and end with their head; those of HTTP/1.0 end their connection."""
+        def behave(request, connection):
+            self.server.run(request)
+            if request[0].startswith("GET") and status.startswith("200"):
+                return make_response(request, b"from i-1")
+            head = make_response(request, b"from i-1", status=status)[:-len(b"from i-1")]
+            if version == "HTTP/1.1":
+                return head
+            connection.sendall(head.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+            return None
+        self.server.behave = behave
+
+    def check_served(self, method, status):
+        """Two requests on the host's connection to the server, whose second one finds it in order."""
+        for number in (1, 2):
+            connection = self.entry.connect()
+            connection.request(method, "/x/1", headers={
+                "Host": "a.example", REQUEST_ID: f"id-{number}", "Heatherlever-Deadline-Remaining": "3000"})
+            response = connection.getresponse()
+            self.assertEqual((response.status, response.read()), (status, b""))
+            length = response.headers["Content-Length"]
+            connection.close()
+        self.assertEqual(self.entry.request(request_id="id-3")[0::2],
+                         (200, b"from i-1") if status == 200 else (status, b""))
+        self.assertEqual(self.server.runs, ["id-1", "id-2", "id-3"])
+        return length
+
+    # Each of these waited for a body until the deadline (504), or counted the end of the connection as a crash (502).
+    def test_head_request_is_answered_with_the_length_that_the_server_names(self):
+        self.behave_as("200 OK")
+        self.assertEqual(self.check_served("HEAD", 200), str(len("from i-1")))
+
+    def test_head_request_to_a_server_that_closes_the_connection(self):
+        self.behave_as("200 OK", "HTTP/1.0")
+        self.check_served("HEAD", 200)
+
+    def test_no_content_with_a_length(self):
+        self.behave_as("204 No Content")
+        self.check_served("GET", 204)
+
+    def test_not_modified_with_a_length(self):
+        self.behave_as("304 Not Modified")
+        self.check_served("GET", 304)
+
+    def test_body_after_the_response_to_a_head_request_belongs_to_no_request(self):
+        self.server.behave = lambda request, connection: make_response(request, b"from i-1")
+        connection = self.entry.connect()
+        self.addCleanup(connection.close)
+        connection.request("HEAD", "/x/1", headers={"Host": "a.example", REQUEST_ID: "id-1"})
+        response = connection.getresponse()
+        self.assertEqual((response.status, response.read()), (200, b""))
+        self.assertEqual(self.entry.request(request_id="id-2")[0::2], (200, b"from i-1"))
