Requests that offer another protocol are read to their end

Callers saw: 400 for a request with Upgrade and a body that came after its head, as clients send that offer HTTP/2 over a plain connection (h2c).

Cause: the parser stops for a change of the protocol, and the reader took that for malformed input, though a server may ignore the offer (RFC 9110, 7.8).

Evidence: request_form_test, 400 in place of 200 before.

Change: the offer is ignored, except for CONNECT.

--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -105,6 +105,10 @@
       impl.head.method =
           http_method_str(static_cast<http_method>(parser->method));
     }
+    if (parser->type == HTTP_REQUEST && parser->method != HTTP_CONNECT) {
+      // An offer to change the protocol may be ignored (RFC 9110, 7.8).
+      parser->upgrade = 0;
+    }
     const auto valid = [](const HeaderField& field) {
       return IsToken(field.name);
     };
@@ -197,7 +201,10 @@
     }
     if (impl_->complete) {
       const int status = impl_->head.status;
-      if (impl_->kind == Kind::kRequest || status >= kFirstFinalStatus) {
+      if (impl_->kind == Kind::kRequest) {
+        return ReadStatus::kComplete;
+      }
+      if (status >= kFirstFinalStatus) {
         return ReadStatus::kComplete;
       }
       const bool no_body = impl_->no_body;
--- /dev/null
+++ b/testsuite/gateway/request_form_test.py
@@ -0,0 +1,33 @@
+"""Requests in forms that the standard has any server accept."""
+
+import socket
+
+from gateway_harness import START_TIMEOUT_S, GatewayTestCase
+from standins import REQUEST_ID
+
+
+class RequestFormTestCase(GatewayTestCase):
+    def setUp(self):
+        super().setUp()
+        self.server = self.backend("i-1")
+        self.entry = self.started_host()
+        self.entry.await_log("backend server i-1 ")
+
+    def exchange(self, *pieces):
+        """Sends each piece once the host has read what came before it, and returns the status line."""
+        with socket.create_connection(("127.0.0.1", self.entry.caller_port), timeout=START_TIMEOUT_S) as connection:
+            for piece in pieces:
+                connection.sendall(piece)
+                # A request on another connection is answered after the host's turn for this one.
+                self.entry.get(self.entry.ready_port, "/heatherlever/ready")
+            return connection.makefile("rb").readline().strip().decode()
+
+    # 400 before, if the body came after the head.
+    def test_offer_of_another_protocol_is_ignored(self):
+        head = (f"POST /x/1 HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\nContent-Length: 4\r\n"
+                "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA\r\n\r\n")
+        self.assertEqual(self.exchange(head.encode(), b"ab", b"cd"), "HTTP/1.1 200 OK")
+        _, fields, body = self.server.seen[-1]
+        self.assertEqual(body, b"abcd")
+        self.assertNotIn("upgrade", fields)
+        self.assertNotIn("http2-settings", fields)
