Request targets in absolute form are served

Callers saw: 404 for a target such as http://a.example/x/1, which any server has to accept (RFC 9112, 3.2.2).

Cause: the whole URL counted as the path.

Evidence: request_form_test, 404 in place of 200 before.

Change: the reader replaces the target by its path and query, and the Host field by the URL's authority, before any other part of the program sees them.

--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -7,6 +7,7 @@
 
 #include "heathergate/http_head.h"
 #include "heathergate/http_status.h"
+#include "libheathergate/request_target.h"
 
 namespace heathergate {
 
@@ -202,7 +203,8 @@
     if (impl_->complete) {
       const int status = impl_->head.status;
       if (impl_->kind == Kind::kRequest) {
-        return ReadStatus::kComplete;
+        return ToOriginForm(impl_->head) ? ReadStatus::kComplete
+                                         : ReadStatus::kMalformed;
       }
       if (status >= kFirstFinalStatus) {
         return ReadStatus::kComplete;
--- a/testsuite/gateway/request_form_test.py
+++ b/testsuite/gateway/request_form_test.py
@@ -22,6 +22,15 @@
                 self.entry.get(self.entry.ready_port, "/heatherlever/ready")
             return connection.makefile("rb").readline().strip().decode()
 
+    # 404 before: the whole URL counted as the path.
+    def test_target_in_absolute_form_is_served(self):
+        status = self.exchange(
+            f"GET http://a.example/x/1?y HTTP/1.1\r\nHost: other.example\r\n{REQUEST_ID}: id-1\r\n\r\n".encode())
+        self.assertEqual(status, "HTTP/1.1 200 OK")
+        first, fields, _ = self.server.seen[-1]
+        self.assertEqual(first, "GET /x/1?y HTTP/1.1")
+        self.assertEqual(fields["host"], "a.example")
+
     # 400 before, if the body came after the head.
     def test_offer_of_another_protocol_is_ignored(self):
         head = (f"POST /x/1 HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\nContent-Length: 4\r\n"
