Warnings don't stop the build of those who only run the program

A machine whose compiler warns of more than g++ 12.2 can't build the program, so that no host starts.

Cause: the deploy build took -Werror from the developers' builds.

The 89 sources of the deploy build compile for x86-64 without a warning (g++ 12.2, cross compiler), so that this is not what stopped a build on Debian 12.

Change: -Werror only where the tests are built.

--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -7,7 +7,12 @@
 
 set(HEATHER_SANITIZE "" CACHE STRING "Sanitizers to build with, such as address,undefined")
 
-add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Werror)
+add_compile_options(-Wall -Wextra -Wpedantic -Wshadow)
+# Another compiler may warn of more, which must not stop the build of those who
+# only run the program.
+if(HEATHER_TESTS)
+  add_compile_options(-Werror)
+endif()
 
 # g++ 12 takes moved-from nlohmann::json values for uninitialized ones, and
 # warns of overlapping copies in std::string's operator+.
