Seeds at a host's own address are other hosts

Callers saw: hosts that started while the store was unavailable served nobody, where all hosts are at one address, each with ports of its own.

Cause: a host left out every seed at its own address, whatever the port. The class of fault is that of the fixed metrics port: a machine's address is taken for one that belongs to this host alone.

Evidence: the new test of configuration_test; before, the second host never got a configuration (30 s).

--- a/testsuite/gateway/configuration_test.py
+++ b/testsuite/gateway/configuration_test.py
@@ -116,6 +116,16 @@
         second.await_log("backend server i-1 ")
         self.assertEqual(second.request("/x/1")[2], b"from i-1")
 
+    # Hosts took a seed at their own address for themselves, whatever its port.
+    def test_host_started_during_a_store_outage_gets_its_state_from_a_seed_at_its_own_address(self):
+        self.backend("i-1")
+        first = self.started_host("h1")
+        first.await_log("backend server i-1 ")
+        self.store.down = True
+        second = self.started_host("h2", domain="e-a", seeds=[first])
+        second.await_log("backend server i-1 ")
+        self.assertEqual(second.request("/x/1")[2], b"from i-1")
+
     def test_changed_settings_are_applied_and_invalid_ones_are_not(self):
         self.backend("i-1", "shed")
         self.backend("i-2", "shed")
