Start whole deployments of a site file as real processes

start_deployment.py runs every host with the command of the deploy file beside the site's backend servers, kinds and rates, on loopback, as often as asked.

--- /dev/null
+++ b/testsuite/deployment/start_deployment.py
@@ -0,0 +1,223 @@
+"""Starts the whole deployment of a site file as real processes on loopback, again and again, and loads each start.
+
+Every host runs with the command of the deploy file; backend servers, kinds of requests and rates are those of the site
+file. Reports, for each start: hosts that ended by themselves, the time until all were ready, and the requests of each
+kind that got no answer. Exits with 1 if a host ended by itself, was not ready in time or did not stop in its grace, or if
+a request got no answer. `python3 start_deployment.py --help` lists the options."""
+
+import argparse
+import asyncio
+import collections
+import os
+import random
+import signal
+import sys
+import time
+import tomllib
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "review"))
+import rig
+
+READY_TIMEOUT_S = 20
+# Grace of the settings, and what a busy machine may add to it.
+STOP_TIMEOUT_S = 6 + 2
+RESTART_DELAY_S = 0.5
+START_SPREAD_S = 0.3
+SHARED_FIRST_PORT, SHARED_LAST_PORT = 12000, 30000
+
+
+class QuietRecord(rig.Record):
+    """Keeps only the lines that name a process or a lost request."""
+
+    def __call__(self, text):
+        if not text.startswith(("client sends", "client gets", "backend")):
+            super().__call__(text)
+
+
+class Deployment:
+    def __init__(self, site, options, folder):
+        self.options, self.site = options, site
+        self.case = rig.Case(folder)
+        self.case.record = QuietRecord(folder)
+        self.random = random.Random(options.seed)
+        rig.ZONES.clear()
+        rig.ZONES.update({zone["name"]: zone["region"] for zone in site["zones"]})
+        self.store = self.case.store()
+        self.routes = {kind["name"]: f"/k{number}/" for number, kind in enumerate(site["classes"])}
+        self.store.put("op", "config", rig.config(7, {
+            kind["name"]: rig.route(
+                self.routes[kind["name"]], "idempotent" if kind["kind"] == "safe" else "non_idempotent", kind["service"],
+                int(kind["deadline_ms"]), kind["aim_ms"], kind["priority"])
+            for kind in site["classes"]}, [service["name"] for service in site["services"]]))
+        self.backends = []
+        for service in site["services"]:
+            work_ms = [kind["work_ms"]["mean"] for kind in site["classes"] if kind["service"] == service["name"]]
+            for place in service["servers"]:
+                for _ in range(place["count"]):
+                    name = f"i-{len(self.backends)}"
+                    # Warm servers take about a third of the work.
+                    backend = self.case.backend(name, service["name"], place["zone"], service["slots"], work_ms[0] / 3000)
+                    self.backends.append(backend)
+                    self.store.put("servers", name, backend.row())
+        self.hosts = []
+        self.ends = collections.Counter()
+        self.lost = collections.Counter()
+        self.statuses = collections.Counter()
+
+    def make_hosts(self):
+        """Writes the settings of every host without starting it."""
+        start = rig.Machine.start
+        rig.Machine.start = lambda machine: None
+        try:
+            zones = [zone for group in self.site["machines"] for zone in [group["zone"]] * group["count"]]
+            for number, zone in enumerate(zones, 1):
+                settings = self.shared_address(number) if self.options.shared_address else None
+                self.hosts.append(rig.Machine(self.case, number, zone, self.store.address, settings))
+        finally:
+            rig.Machine.start = start
+        if self.options.shared_address:
+            for host in self.hosts:
+                host.front, host.ready = (self.endpoint(host, name) for name in ("front", "ready"))
+
+    def shared_address(self, number):
+        """Settings of a host at the address that all share, with ports of its own."""
+        base = SHARED_FIRST_PORT + (os.getpid() * 7919 + number * 30) % (SHARED_LAST_PORT - SHARED_FIRST_PORT)
+        ip = f"{self.case.prefix}.1"
+        return {"ip": ip, "internalPorts": [base + 5, base + 20],
+                "listen": {name: f"{ip}:{base + n}" for n, name in enumerate(("front", "ready", "control", "directory"))},
+                "seeds": []}
+
+    def endpoint(self, host, name):
+        ip, port = host.settings["listen"][name].split(":")
+        return ip, int(port)
+
+    def start(self):
+        for host in self.random.sample(self.hosts, len(self.hosts)):
+            host.start()
+            if self.options.hangup_ms is not None:
+                time.sleep(self.options.hangup_ms / 1000)
+                host.signal(signal.SIGHUP)
+            time.sleep(START_SPREAD_S / len(self.hosts) * self.random.random())
+
+    def check_ends(self, restart=True):
+        for host in self.hosts:
+            if host.process.poll() is not None and not getattr(host, "expected_end", False):
+                self.ends[host.name, host.process.returncode] += 1
+                self.case.record(f"{host.name} ended by itself: {host.process.returncode}")
+                if restart:
+                    time.sleep(RESTART_DELAY_S)
+                    host.start()
+
+    def await_ready(self):
+        """Returns the time that it took, or None. Restarts hosts that end."""
+        begin = time.monotonic()
+        waiting = list(self.hosts)
+        while waiting:
+            if time.monotonic() - begin > READY_TIMEOUT_S:
+                self.case.record(f"not ready: {[host.name for host in waiting]}")
+                return None
+            self.check_ends()
+            waiting = [host for host in waiting if not host.is_ready()]
+            time.sleep(0.02)
+        return time.monotonic() - begin
+
+    async def load(self, seconds):
+        tasks = [asyncio.create_task(self.load_kind(kind, seconds)) for kind in self.site["classes"]]
+        await asyncio.gather(*tasks)
+
+    async def load_kind(self, kind, seconds):
+        share = sum(place["mix"].get(kind["name"], 0) / sum(place["mix"].values()) * place["per_s"]
+                    for place in self.site["traffic"])
+        requests = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.expovariate(share * self.options.scale))
+            requests.append(asyncio.create_task(self.request(kind)))
+        await asyncio.gather(*requests)
+
+    async def request(self, kind):
+        host = self.random.choice([host for host in self.hosts if not getattr(host, "expected_end", False)])
+        size = int(kind["req_bytes"]["mean"]) if kind["method"] != "GET" else 0
+        request_id, status, _, _ = await rig.client_request(
+            self.case.record, host.front, kind["method"], self.routes[kind["name"]] + "2f", int(kind["deadline_ms"]),
+            self.random.randrange(kind["things"]), b"x" * size)
+        self.statuses[kind["name"], status] += 1
+        if status <= 0:
+            self.lost[kind["name"], status] += 1
+            self.case.record(f"no answer ({status}) to {request_id}, {kind['name']}, at {host.name}")
+
+    def stop(self):
+        """Returns the hosts that did not end by SIGTERM with exit code 0."""
+        self.check_ends(restart=False)
+        for host in self.hosts:
+            host.expected_end = True
+            host.signal(signal.SIGTERM)
+        end = time.monotonic() + STOP_TIMEOUT_S
+        while time.monotonic() < end and any(host.process.poll() is None for host in self.hosts):
+            time.sleep(0.02)
+        bad = [(host.name, host.process.poll()) for host in self.hosts if host.process.poll() != 0]
+        self.case.record(f"stop: {bad or 'all ended'}")
+        return bad
+
+    def close(self):
+        for host in self.hosts:
+            if host.process:
+                host.stop()
+        for server in [backend.server for backend in self.backends] + [self.store.server]:
+            self.case.loop.run(self.close_server(server))
+
+    async def close_server(self, server):
+        server.close()
+
+
+def run(site, options, number):
+    folder = os.path.join(options.folder, f"start-{number}")
+    os.makedirs(folder, exist_ok=True)
+    deployment = Deployment(site, options, folder)
+    try:
+        deployment.make_hosts()
+        deployment.start()
+        ready_s = deployment.await_ready()
+        if options.load_s > 0:
+            deployment.case.loop.run(deployment.load(options.load_s))
+        deployment.check_ends(restart=False)
+        bad_stops = deployment.stop() if options.stop else []
+        kept = ready_s is not None and not deployment.ends and not deployment.lost and not bad_stops
+        print(f"start {number}: {'kept' if kept else 'BROKEN'}, ready after {ready_s if ready_s is None else round(ready_s, 2)} s, "
+              f"ends {dict(deployment.ends)}, lost {dict(deployment.lost)}, bad stops {bad_stops}, "
+              f"statuses {dict(deployment.statuses)}", flush=True)
+        if not kept:
+            for host in deployment.hosts:
+                if os.path.exists(host.log):
+                    os.replace(host.log, os.path.join(folder, host.name + ".log"))
+        return kept
+    finally:
+        deployment.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--site", required=True, help="site file of the bench (TOML)")
+    parser.add_argument("--starts", type=int, default=1)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--load-s", type=float, default=2, help="seconds of load after each start; 0 for none")
+    parser.add_argument("--scale", type=float, default=1, help="share of the site's rates")
+    parser.add_argument("--shared-address", action="store_true", help="all hosts at one address, with ports of their own")
+    parser.add_argument("--hangup-ms", type=float, help="SIGHUP to each host so long after its start")
+    parser.add_argument("--stop", action="store_true", help="SIGTERM to all hosts at the end of each start")
+    parser.add_argument("--folder", default="deployment-logs", help="for records, and for the logs of broken starts")
+    parser.add_argument("--root", default=rig.ROOT, help="repository whose deploy file and build are run")
+    options = parser.parse_args()
+    rig.ROOT = os.path.abspath(options.root)
+    with open(options.site, "rb") as file:
+        site = tomllib.load(file)
+    broken = 0
+    for number in range(options.starts):
+        broken += not run(site, options, number)
+        options.seed += 1
+    print(f"{options.starts - broken} of {options.starts} starts kept")
+    os._exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
