A HEAD request has a connection to its server of its own

Callers saw: 504 or 502 for a request that was run and answered, on a connection that a HEAD request, or a 204 with a length, had used before and on which the server sent a late or second response; 502 for HEAD and 304 whose server names a length over the limit of a body.

Cause: a late response was framed by the method of the request that it came upon, not of its own. The limit was checked before it was known that there is no body.

Change: HEAD requests neither take a kept connection nor leave one; one whose bodiless response announced a body isn't kept either. Bodies that are skipped have no limit. Whether a connection is kept is decided at the end of the head again, so that trailers don't change it.

A HEAD request costs a new connection.

--- a/src/include/heathergate/http_reader.h
+++ b/src/include/heathergate/http_reader.h
@@ -53,6 +53,9 @@
   /// Whether any byte of the current message has been read.
   bool started() const;
   bool head_complete() const;
+  /// Whether the fields of the current message announce a body that a message
+  /// of its kind doesn't have. The sender may send it all the same.
+  bool skipped_body() const;
   HttpHead& head();
   std::string& body();
 
--- a/src/libheathergate/http_client.cc
+++ b/src/libheathergate/http_client.cc
@@ -39,7 +39,10 @@
     HttpCall::Done done) {
   auto call = std::make_shared<HttpCall>(std::move(done));
   OutgoingRequest request{std::move(head), std::move(body), echo};
-  if (const auto idle = TakeIdle(peer.name)) {
+  // The response to an earlier request may still come, and is framed by another
+  // method.
+  const auto idle = request.IsHead() ? nullptr : TakeIdle(peer.name);
+  if (idle != nullptr) {
     idle->Reuse(call, std::move(request));
     return call;
   }
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -23,7 +23,6 @@
 // Share of the keep-alive time announced by the peer during which a connection
 // is reused, so that no request is sent while the peer closes the connection.
 constexpr double kKeepAliveShare = 0.6;
-constexpr std::string_view kHeadMethod = "HEAD ";
 // Time for which a peer may accept no bytes of a request. Calls have deadlines
 // of their own.
 constexpr Duration kStallTimeout = std::chrono::seconds(60);
@@ -110,7 +109,7 @@
   call_ = std::move(call);
   call_->connection_ = shared_from_this();
   request_ = std::move(request);
-  head_request_ = request_.head.starts_with(kHeadMethod);
+  head_request_ = request_.IsHead();
   ResetReader();
 }
 
@@ -253,7 +252,10 @@
       idle_timeout_ = std::min(idle_timeout_, usable_time);
     }
   }
-  const bool reuse = result.head.keep_alive && !writing_ && !unexpected_input_;
+  // A late or duplicate response could be framed by the wrong request's method.
+  const bool framing_certain = !head_request_ && !reader_.skipped_body();
+  const bool reuse = result.head.keep_alive && !writing_ &&
+                     !unexpected_input_ && framing_certain;
   const auto call = std::exchange(call_, nullptr);
   reader_.Reset();
   // The receiver of the response counts it from now on.
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -24,6 +24,8 @@
   std::shared_ptr<const std::string> body;
   /// Value of the header that the response echoes.
   std::string echo;
+
+  bool IsHead() const { return head.starts_with("HEAD "); }
 };
 
 /// One connection of an HttpClient: opened for a call and reused for later
--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -24,6 +24,7 @@
   bool head_complete = false;
   bool complete = false;
   bool no_body = false;
+  bool skipped_body = false;
   bool head_too_large = false;
   bool body_too_large = false;
 };
@@ -98,6 +99,7 @@
   static int OnHeadersComplete(http_parser* parser) {
     Impl& impl = ImplOf<Impl>(parser);
     impl.head_complete = true;
+    impl.head.keep_alive = http_should_keep_alive(parser) != 0;
     impl.head.accepts_interim =
         parser->http_major > 1 ||
         (parser->http_major == 1 && parser->http_minor >= 1);
@@ -121,15 +123,20 @@
       impl.head_too_large = true;
       return kStopParser;
     }
+    const bool skip = impl.no_body || (parser->type == HTTP_RESPONSE &&
+                                       EndsWithHead(impl.head.status));
     constexpr auto kUnknownLength = static_cast<std::uint64_t>(-1);
-    if (parser->content_length != kUnknownLength &&
-        parser->content_length > impl.limits.body_bytes) {
+    const bool known_length = parser->content_length != kUnknownLength;
+    if (skip) {
+      impl.skipped_body = (parser->flags & F_CHUNKED) != 0 ||
+                          (known_length && parser->content_length > 0);
+      return kSkipBody;
+    }
+    if (known_length && parser->content_length > impl.limits.body_bytes) {
       impl.body_too_large = true;
       return kStopParser;
     }
-    const bool skip = impl.no_body || (parser->type == HTTP_RESPONSE &&
-                                       EndsWithHead(impl.head.status));
-    return skip ? kSkipBody : kReadBody;
+    return kReadBody;
   }
 
   static int OnBody(http_parser* parser, const char* at, size_t length) {
@@ -145,7 +152,6 @@
   static int OnMessageComplete(http_parser* parser) {
     Impl& impl = ImplOf<Impl>(parser);
     impl.complete = true;
-    impl.head.keep_alive = http_should_keep_alive(parser) != 0;
     http_parser_pause(parser, 1);
     return 0;
   }
@@ -182,6 +188,7 @@
   impl_->head_complete = false;
   impl_->complete = false;
   impl_->no_body = false;
+  impl_->skipped_body = false;
   impl_->head_too_large = false;
   impl_->body_too_large = false;
 }
@@ -249,6 +256,10 @@
   return impl_->head_complete;
 }
 
+bool HttpReader::skipped_body() const {
+  return impl_->skipped_body;
+}
+
 HttpHead& HttpReader::head() {
   return impl_->head;
 }
--- a/testsuite/gateway/bodiless_response_test.py
+++ b/testsuite/gateway/bodiless_response_test.py
@@ -24,8 +24,18 @@
             return None
         self.server.behave = behave
 
+    def head(self, more=None):
+        """Returns (status, headers, Content-Length) of the answer to a HEAD request."""
+        connection = self.entry.connect()
+        self.addCleanup(connection.close)
+        connection.request("HEAD", "/x/1", headers={"Host": "a.example", REQUEST_ID: "id-0",
+                                                    "Heatherlever-Deadline-Remaining": "3000", **(more or {})})
+        response = connection.getresponse()
+        self.assertEqual(response.read(), b"")
+        return response.status, response.headers, response.headers["Content-Length"]
+
     def check_served(self, method, status):
-        """Two requests on the host's connection to the server, whose second one finds it in order."""
+        """Two requests, and one with another method; each runs once."""
         for number in (1, 2):
             connection = self.entry.connect()
             connection.request(method, "/x/1", headers={
@@ -64,3 +74,52 @@
         response = connection.getresponse()
         self.assertEqual((response.status, response.read()), (200, b""))
         self.assertEqual(self.entry.request(request_id="id-2")[0::2], (200, b"from i-1"))
+
+    # The late responses were framed by the method of the request that they came upon (504 or 502).
+    def test_second_response_to_a_head_request_is_not_taken_for_a_later_requests(self):
+        for length in (8, 60, 5000):
+            late = {}
+            def behave(request, connection, length=length, late=late):
+                if request[0].startswith("HEAD"):
+                    late[connection] = make_response(request, b"").replace(b"Length: 0", b"Length: %d" % length)
+                    return late[connection]
+                connection.sendall(late.get(connection, b""))
+                return make_response(request, b"from i-1")
+            self.server.behave = behave
+            self.assertEqual(self.head()[0], 200)
+            self.assertEqual(self.entry.request(request_id=f"id-{length}")[0::2], (200, b"from i-1"))
+
+    def test_second_response_to_a_get_request_is_not_taken_for_a_head_requests(self):
+        late = {}
+        def behave(request, connection):
+            if request[0].startswith("HEAD"):
+                connection.sendall(late.get(connection, b""))
+                return make_response(request, b"")
+            late[connection] = make_response(request, b"from i-1")
+            return late[connection]
+        self.server.behave = behave
+        self.assertEqual(self.entry.request(request_id="id-1")[0], 200)
+        self.assertEqual(self.head()[0], 200)
+
+    # The next request on the connection got 502, though it had run.
+    def test_body_that_follows_no_content_later_belongs_to_no_request(self):
+        late = {}
+        def behave(request, connection):
+            if request[0].startswith("GET"):
+                late[connection] = b"later"
+                return make_response(request, b"", status="204 No Content").replace(b"Length: 0", b"Length: 5")
+            connection.sendall(late.get(connection, b""))
+            return make_response(request, b"from i-1")
+        self.server.behave = behave
+        self.assertEqual(self.entry.request(request_id="id-1")[0], 204)
+        self.assertEqual(self.entry.request("/w/1", method="POST", body=b"x", request_id="id-2")[0], 200)
+
+    # 502: a length over the limit of a body counted, though there is no body.
+    def test_length_of_a_large_object_is_no_error(self):
+        def behave(request, connection):
+            return make_response(request, b"", status=statuses[-1]).replace(b"Length: 0", b"Length: 20000000")
+        self.server.behave = behave
+        statuses = ["200 OK"]
+        self.assertEqual(self.head()[0::2], (200, "20000000"))
+        statuses.append("304 Not Modified")
+        self.assertEqual(self.entry.request(request_id="id-2")[0], 304)
