State the length that a HEAD request's server has named, or none

Callers saw: Content-Length 0 for a HEAD request whose server named no length, which a GET would not have (RFC 9110, 8.6).

Cause: no length and the length of an empty body had one representation.

Change: head_length is unset, empty or the server's. A host that answers one that passed a request on states 0, as builds before did; a host that has passed a request on states none.

--- a/src/include/heathergate/http_response.h
+++ b/src/include/heathergate/http_response.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERGATE_HTTP_RESPONSE_H_
 #define HEATHERGATE_HTTP_RESPONSE_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,8 +18,9 @@
   int status = 200;
   std::vector<HeaderField> fields;
   std::string body;
-  /// Content-Length of a response to a HEAD request; if empty, the body's.
-  std::string stated_length;
+  /// Content-Length of a response to a HEAD request, empty for none; the
+  /// body's if it isn't set.
+  std::optional<std::string> head_length;
   /// Whether the connection is closed after this response.
   bool close = false;
 };
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -232,8 +232,10 @@
     return;
   }
   ObserveLeavingElsewhere(result.head);
-  DeliverResponse(HttpResponse::Of(result.head.status, std::move(result.body)),
-                  result.head, {});
+  HttpResponse response =
+      HttpResponse::Of(result.head.status, std::move(result.body));
+  response.head_length = "";
+  DeliverResponse(std::move(response), result.head, {});
 }
 
 void ForwardedRequest::EndUnplaced(const char* reason) {
@@ -615,6 +617,11 @@
 void ForwardedRequest::Deliver(CallResult result) {
   HttpResponse response =
       HttpResponse::Of(result.head.status, std::move(result.body));
+  // Hosts of builds that don't know of responses without a body would wait for
+  // one of the stated length.
+  if (!detoured_) {
+    response.head_length = result.head.Value("Content-Length");
+  }
   const bool changed = StatesNotRun(response.status);
   if (changed) {
     // The request has run, so a status that states the contrary isn't passed
@@ -638,7 +645,6 @@
       response.fields.push_back(field);
     }
   }
-  response.stated_length = head.Value("Content-Length");
   if (detoured_ && !leaving_server_.empty()) {
     response.fields.push_back({names.leaving_server, leaving_server_});
   }
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -354,11 +354,13 @@
     output_head_ += field.name + ": " + field.value + "\r\n";
   }
   if (HasBody(response.status)) {
-    output_head_ += "Content-Length: " +
-                    (head_request_ && !response.stated_length.empty()
-                         ? response.stated_length
-                         : std::to_string(response.body.size())) +
-                    "\r\n";
+    std::string length = std::to_string(response.body.size());
+    if (head_request_) {
+      length = response.head_length.value_or(length);
+    }
+    if (!length.empty()) {
+      output_head_ += "Content-Length: " + length + "\r\n";
+    }
   }
   if (close_after_write_) {
     output_head_ += "Connection: close\r\n";
--- a/testsuite/gateway/bodiless_response_test.py
+++ b/testsuite/gateway/bodiless_response_test.py
@@ -123,3 +123,14 @@
         self.assertEqual(self.head()[0::2], (200, "20000000"))
         statuses.append("304 Not Modified")
         self.assertEqual(self.entry.request(request_id="id-2")[0], 304)
+
+    # The host stated a length of 0.
+    def test_head_request_whose_server_names_no_length_is_answered_without_one(self):
+        self.server.behave = lambda request, connection: make_response(request, b"").replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        self.assertEqual(self.head()[0::2], (200, None))
+
+    # Builds that don't know of bodiless responses would wait for a body of the stated length.
+    def test_host_that_passes_a_head_request_on_is_told_no_length(self):
+        self.behave_as("200 OK")
+        self.assertEqual(self.head({"Heather-Detour": "2;1"})[0::2], (200, "0"))
