The body of a CONNECT request is not the next request

Callers saw: a request run that no caller had sent as one: a CONNECT request was answered 404, and its body was read and run as the next request.

Cause: the parser ends a CONNECT request at its head, whatever its Content-Length says, and the connection went on.

Evidence: request_form_test; before, two responses and a run.

Change: CONNECT is answered 400, which ends the connection.

--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -108,7 +108,11 @@
       impl.head.method =
           http_method_str(static_cast<http_method>(parser->method));
     }
-    if (parser->type == HTTP_REQUEST && parser->method != HTTP_CONNECT) {
+    if (parser->type == HTTP_REQUEST) {
+      if (parser->method == HTTP_CONNECT) {
+        // The parser ends it at its head, and what follows is no request.
+        return kStopParser;
+      }
       // An offer to change the protocol may be ignored (RFC 9110, 7.8).
       parser->upgrade = 0;
     }
--- a/testsuite/gateway/request_form_test.py
+++ b/testsuite/gateway/request_form_test.py
@@ -40,3 +40,14 @@
         self.assertEqual(body, b"abcd")
         self.assertNotIn("upgrade", fields)
         self.assertNotIn("http2-settings", fields)
+
+    # The body of a CONNECT request was read as the next request, and run.
+    def test_body_of_a_connect_request_is_not_run(self):
+        inner = f"GET /x/smuggled HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-2\r\n\r\n".encode()
+        head = f"CONNECT a.example:80 HTTP/1.1\r\nHost: a.example\r\nContent-Length: {len(inner)}\r\n\r\n".encode()
+        with socket.create_connection(("127.0.0.1", self.entry.caller_port), timeout=START_TIMEOUT_S) as connection:
+            connection.sendall(head + inner)
+            answer = connection.makefile("rb").read()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+        self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertEqual(self.server.seen, [])
