Refuse request targets that name a user

Found by the review: http://user@a.example/x/1 was routed by the host 'user@a.example' (404). RFC 9110, 4.2.4 has it treated as an error; it is answered 400 now (RequestTargetTest, the new case failed before by reading).

--- a/src/libheathergate/request_target.cc
+++ b/src/libheathergate/request_target.cc
@@ -21,7 +21,8 @@
       std::min(target.find_first_of("/?", kScheme.size()), target.size());
   const std::string authority =
       target.substr(kScheme.size(), end - kScheme.size());
-  if (authority.empty()) {
+  // RFC 9110, 4.2.4: user information may hide the host.
+  if (authority.empty() || authority.find('@') != std::string::npos) {
     return false;
   }
   head.target = target.substr(end);
--- a/src/libheathergate/request_target_test.cc
+++ b/src/libheathergate/request_target_test.cc
@@ -43,9 +43,11 @@
   }
 }
 
-TEST(RequestTargetTest, AbsoluteFormWithoutAuthorityIsRefused) {
-  HttpHead head = HeadOf("http:///x");
-  EXPECT_FALSE(ToOriginForm(head));
+TEST(RequestTargetTest, AbsoluteFormWithoutHostOrWithUserIsRefused) {
+  for (const char* target : {"http:///x", "http://u@a.example/x"}) {
+    HttpHead head = HeadOf(target);
+    EXPECT_FALSE(ToOriginForm(head));
+  }
 }
 
 }  // namespace
