Instant(0) is long ago also on a machine that has just booted

Cause: times of other hosts' events arrive as ages and may be before this machine's boot, thus below Instant(0), which stands for what has not happened yet. A list of servers read before the boot counted as older than none, both at the host that has it and at the one that asks; crashes and limits of before the boot were dropped.

The program, 6 s after its last read of the store, answers a query from a list age of 3 s or 5 s, as a machine that booted so long ago sends it, without servers; with 60 s it names them. Not run on a machine that has just booted.

--- a/src/libheathernet/boot_clock.h
+++ b/src/libheathernet/boot_clock.h
@@ -9,7 +9,9 @@
 
 namespace heathernet {
 
-/// CLOCK_BOOTTIME, which goes on while the machine is suspended.
+/// CLOCK_BOOTTIME, which goes on while the machine is suspended. Its epoch is a
+/// day before the boot, so that Instant(0), which stands for what has not
+/// happened yet, is long ago also on a machine that has just booted.
 struct BootClock {
   using duration = heatherlever::Duration;
   using rep = duration::rep;
--- a/src/libheathernet/event_loop_test.cc
+++ b/src/libheathernet/event_loop_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <ctime>
 #include <thread>
 #include <vector>
 
@@ -42,6 +44,16 @@
   loop.Run();
 }
 
+// Times of other hosts' events, which are received as ages, may be before the
+// boot of this host's machine.
+TEST(EventLoopTest, InstantZeroIsLongBeforeTheBoot) {
+  timespec since_boot{};
+  ASSERT_EQ(clock_gettime(CLOCK_BOOTTIME, &since_boot), 0);
+  const heatherlever::Instant boot =
+      EventLoop::Now() - std::chrono::seconds(since_boot.tv_sec);
+  EXPECT_GE(boot, std::chrono::hours(1));
+}
+
 TEST(EventLoopTest, TimersFireInOrderAndNotEarly) {
   EventLoop loop;
   const heatherlever::Instant start = EventLoop::Now();
