Huge load reports of servers don't overflow

Callers saw: nothing known; a server that reports more requests than an int holds counted as idle and was chosen first.

Cause: the sum of the reported numbers overflowed, which is undefined.

Evidence: the new test of server_load_test failed before, and the undefined behavior sanitizer reported the addition.

Change: the sum is a double, as the member that takes it.

--- a/src/libheathersteer/server_load.cc
+++ b/src/libheathersteer/server_load.cc
@@ -18,7 +18,8 @@
 void ServerLoad::Report(int running, int queued, Instant now) {
   // The server made the report while the request was still running or had just
   // ended; local_in_flight_ still counts it.
-  others_in_flight_ = std::max(0, running + queued - local_in_flight_);
+  others_in_flight_ =
+      std::max(0.0, static_cast<double>(running) + queued - local_in_flight_);
   reported_at_ = now;
 }
 
--- a/src/libheathersteer/server_load_test.cc
+++ b/src/libheathersteer/server_load_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace heathersteer {
 namespace {
 
@@ -30,5 +32,13 @@
   EXPECT_DOUBLE_EQ(load.Estimate(seconds(1)), 2);
 }
 
+// The sum overflowed, and the server counted as idle.
+TEST(ServerLoadTest, HugeReportsCountAsFull) {
+  constexpr int kMax = std::numeric_limits<int>::max();
+  ServerLoad load;
+  load.Report(kMax, kMax, seconds(1));
+  EXPECT_DOUBLE_EQ(load.Estimate(seconds(1)), 2.0 * kMax);
+}
+
 }  // namespace
 }  // namespace heathersteer
