Addresses with leading zeros are errors of the settings

Cause: the check of the settings took 127.0.0.01 for an address. The sockets don't, and their exception left the handler that starts the host.

Evidence: the new test of late_settings_test; before, the process wrote "Invalid argument" and ended.

Change: an octet of more than one digit doesn't begin with 0, so that the host waits for other settings.

--- a/src/libheatherlever/ipv4.cc
+++ b/src/libheatherlever/ipv4.cc
@@ -19,11 +19,16 @@
     if (i > 0 && (next == end || *next++ != '.')) {
       return std::nullopt;
     }
+    const char* begin = next;
     unsigned octet = 0;
     const auto result = std::from_chars(next, end, octet);
     if (result.ec != std::errc() || octet > kMaxOctet) {
       return std::nullopt;
     }
+    // Others take an octet with a leading zero for octal, or for an error.
+    if (*begin == '0' && result.ptr - begin > 1) {
+      return std::nullopt;
+    }
     address = (address << kOctetBits) | octet;
     next = result.ptr;
   }
--- a/testsuite/gateway/late_settings_test.py
+++ b/testsuite/gateway/late_settings_test.py
@@ -53,6 +53,12 @@
         self.model.start()
         self.check_host_starts_after_all("is not an IPv4 address")
 
+    # The settings were taken for usable; the exception of the address ended the process.
+    def test_host_waits_for_settings_without_leading_zeros_in_addresses(self):
+        self.write(self.model.settings_path, json.dumps({**self.model.settings, "ip": "127.0.0.01"}))
+        self.model.start()
+        self.check_host_starts_after_all("is not an IPv4 address")
+
     def test_host_waits_for_rules_that_are_not_there_yet(self):
         os.unlink(self.rules_path)
         self.write(self.model.settings_path, self.text)
