Deeply nested rows of the store don't end hosts

Callers saw: all hosts of a deployment end at once, by SIGSEGV, and again after each restart, while the store has a row or the settings a field with some 100,000 nested lists in place of a text or a number.

Cause: the error message named the value; writing it out recurses for each level and overflows the stack.

Evidence: the new test of configuration_test; before, the host ended (200,000 levels; a server, the configuration and the settings).

--- a/testsuite/gateway/configuration_test.py
+++ b/testsuite/gateway/configuration_test.py
@@ -44,6 +44,18 @@
         host.await_log("d-a taken back")
         self.assertEqual(host.request("/x/1")[2], b"from i-1")
 
+    # The error message named the value, and the recursion for it ended every host that read the row.
+    def test_rows_with_deeply_nested_values_are_ignored(self):
+        deep = b"[" * 200000 + b"]" * 200000
+        self.backend("i-1")
+        host = self.started_host()
+        host.await_log("backend server i-1 ")
+        self.store.put("servers", "deep", b'{"service":' + deep + b"}")
+        host.await_log("row servers/deep")
+        self.store.put("op", "config", b'{"version":' + deep + b"}")
+        host.await_log("configuration at version")
+        self.assertEqual(host.request("/x/1")[0], 200)
+
     def test_last_known_state_stays_in_force_while_the_store_is_unavailable(self):
         self.backend("i-1")
         host = self.started_host()
