Ages and counts of peers are bounded

A malformed message of a peer could give an event a time after now, which then stays newer than all that follow.

Cause: the codec subtracted any age from the local time, and the numbers of hosts were added as they came; both overflow, which is undefined.

Evidence: the undefined behavior sanitizer reported the subtraction in a host that got such a message at its control port; the new test of relay_codec_test failed before.

Change: an age is at least 0 and at most the time since Instant(0); a number of hosts has a maximum.

--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -22,6 +22,19 @@
 
 // Demand is sent in thousandths of a request/s.
 constexpr double kMilli = 1000;
+// Beyond any deployment, and small enough for sums of some sources.
+constexpr int kMaxHosts = 1'000'000;
+
+// The time of an event, of which peers send the age: not after now, and at the
+// earliest Instant(0).
+Instant TimeOfAge(const json& value, Instant now) {
+  const Duration age(value.get<std::int64_t>());
+  return now - std::clamp(age, Duration(0), now);
+}
+
+int ToHostCount(const json& value) {
+  return std::clamp(value.get<int>(), 0, kMaxHosts);
+}
 
 json FromServer(const BackendServer& server, Instant now) {
   const Duration cold = std::max(Duration(0), server.cold_until - now);
@@ -49,7 +62,9 @@
   server.slots = value.at("slots").get<int>();
   server.draining = value.at("draining").get<bool>();
   const Duration cold(value.at("cold_us").get<std::int64_t>());
-  server.cold_until = cold.count() > 0 ? now + cold : Instant{0};
+  server.cold_until = cold.count() > 0
+                          ? now + std::min(cold, Duration::max() - now)
+                          : Instant{0};
   server.started_ms = value.at("started_ms").get<std::int64_t>();
   server.report_sequence = value.at("report").get<std::int64_t>();
   return server;
@@ -140,14 +155,14 @@
 
 LimitSummary ToLimits(const json& value, Instant now) {
   LimitSummary limits;
-  limits.hosts = std::max(0, value.at("hosts").get<int>());
+  limits.hosts = ToHostCount(value.at("hosts"));
   for (const json& server : value.at("servers")) {
     LimitReport report;
     report.server_id = server.at(0).get<std::string>();
     report.started_ms = server.at(1).get<std::int64_t>();
     report.limit = std::max(0.0, server.at(2).get<double>());
-    const Duration age(server.at(3).get<std::int64_t>());
-    report.observed_at = age.count() < 0 ? Instant(0) : now - age;
+    const bool observed = server.at(3).get<std::int64_t>() >= 0;
+    report.observed_at = observed ? TimeOfAge(server.at(3), now) : Instant(0);
     report.demand =
         std::max(0.0, static_cast<double>(server.at(4).get<std::int64_t>())) /
         kMilli;
@@ -177,12 +192,11 @@
   for (const json& entry : value) {
     CrashSuspect& suspect = suspects.emplace_back();
     suspect.fingerprint = entry.at(0).get<std::uint64_t>();
-    const Duration age(entry.at(1).get<std::int64_t>());
-    suspect.cleared_at = age.count() < 0 ? Instant(0) : now - age;
+    const bool cleared = entry.at(1).get<std::int64_t>() >= 0;
+    suspect.cleared_at = cleared ? TimeOfAge(entry.at(1), now) : Instant(0);
     for (const json& crash : entry.at(2)) {
-      const Duration crash_age(crash.at(1).get<std::uint64_t>());
       suspect.crashes.push_back(
-          {crash.at(0).get<std::uint64_t>(), now - crash_age});
+          {crash.at(0).get<std::uint64_t>(), TimeOfAge(crash.at(1), now)});
     }
   }
   return suspects;
@@ -194,8 +208,8 @@
   response.registration_version = ToVersion(value.at("joined"));
   response.registration_lost = value.at("lost").get<bool>();
   response.timeline = value.at("timeline").get<std::uint64_t>();
-  response.age = Duration(value.at("age_us").get<std::int64_t>());
-  response.host_count = value.at("hosts").get<int>();
+  response.age = now - TimeOfAge(value.at("age_us"), now);
+  response.host_count = ToHostCount(value.at("hosts"));
   response.servers_sequence = value.at("servers_sequence").get<std::uint64_t>();
   response.operator_sequence =
       value.at("operator_sequence").get<std::uint64_t>();
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <climits>
+#include <string>
+
 namespace heathergate {
 namespace {
 
@@ -60,6 +63,29 @@
   EXPECT_EQ(decoded->limits->reports.back().observed_at, seconds(0));
 }
 
+// The sums with the local time overflowed, and a time after now stays newer
+// than all that follow.
+TEST(RelayCodecTest, AgesThatNoEventCanHaveAreBounded) {
+  for (const char* age : {"-9223372036854775808", "9223372036854775807",
+                          "9223372036854775808", "18446744073709551615"}) {
+    const std::string text =
+        std::string(R"({"domain":"d","needs_suspects":true,"suspects":[[1,)") +
+        age + ",[[7," + age +
+        R"(]]]],"limits":{"hosts":2147483647,"servers":)" +
+        R"([["i-1",9,8.5,)" + age + ",1]]}}";
+    const auto decoded = DecodeDomainReport(text, seconds(500));
+    ASSERT_TRUE(decoded) << text;
+    for (const heatherlever::Instant at :
+         {decoded->suspects.front().cleared_at,
+          decoded->suspects.front().crashes.front().at,
+          decoded->limits->reports.front().observed_at}) {
+      EXPECT_GE(at, seconds(0)) << text;
+      EXPECT_LE(at, seconds(500)) << text;
+    }
+    EXPECT_LT(decoded->limits->hosts, INT_MAX / 2);
+  }
+}
+
 TEST(RelayCodecTest, SuspectsRoundTripKeepsAges) {
   DomainReport report;
   report.domain = "north-a";
