A server's failure is delivered if no other server answers

Cause: the repeat of an idempotent request gave up the response that it followed. Where the repeat found no server, no room or no time, or was not run, nothing was left to deliver.

Evidence: server_failure_test, all three tests failed before (502 for 599): the only server, a full second server, a second server that does not run it.

Change: ForwardedRequest keeps the failure, counted in the buffer budget, and delivers it in place of its own 502 or 504.

--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -79,6 +79,7 @@
                       exchange_->head().Find(gateway.options_.names.detour))),
       deadline_timer_(loop),
       queue_timer_(loop),
+      failure_hold_(gateway.options_.buffers, [this] { failure_.reset(); }),
       detoured_(exchange_->head().Find(gateway.options_.names.detour) !=
                 nullptr) {
   const HeaderNames& names = gateway_.options_.names;
@@ -604,14 +605,21 @@
   const Instant now = EventLoop::Now();
   if (gateway_.Budget(service_.name).TryRetry(now, gateway_.host_count_)) {
     ++gateway_.counters_.retries;
+    KeepFailure(std::move(result));
     Place();
     return;
   }
-  if (result.outcome == CallOutcome::kAnswered && policy_.may_have_run()) {
-    Deliver(std::move(result));
+  KeepFailure(std::move(result));
+  Proceed(policy_.WithoutRetry(), {});
+}
+
+void ForwardedRequest::KeepFailure(CallResult result) {
+  if (ClassifyResult(result) != AttemptOutcome::kServerError) {
     return;
   }
-  Proceed(policy_.WithoutRetry(), std::move(result));
+  const std::size_t bytes = result.body.size();
+  failure_ = std::move(result);
+  failure_hold_.HoldResponse(bytes);
 }
 
 void ForwardedRequest::Deliver(CallResult result) {
@@ -665,6 +673,11 @@
 }
 
 void ForwardedRequest::Fail(int status, const char* reason) {
+  if (auto failure = std::exchange(failure_, std::nullopt)) {
+    failure_hold_.Release();
+    Deliver(*std::move(failure));
+    return;
+  }
   ++gateway_.counters_.failed;
   Finish(HttpResponse::Of(status), reason);
 }
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "heathergate/buffer_hold.h"
 #include "heathergate/http_call.h"
 #include "heathergate/http_response.h"
 #include "heathergate/timer.h"
@@ -80,12 +81,15 @@
                           heathersteer::AttemptOutcome outcome);
   void Proceed(heathersteer::NextStep step, CallResult result);
   void Retry(CallResult result);
+  // Keeps a server's failure in case no other server answers.
+  void KeepFailure(CallResult result);
   void Deliver(CallResult result);
   // Passes on a response with the fields of `head` but `dropped_field`.
   void DeliverResponse(HttpResponse response,
                        const HttpHead& head,
                        const std::string& dropped_field);
   void Reject(const char* reason);
+  // Passes on the failure of a server if there is one, else `status`.
   void Fail(int status, const char* reason);
   void OnDeadline();
   void OnAbandoned();
@@ -117,6 +121,9 @@
   std::shared_ptr<heathersteer::ServerState> server_;
   heatherlever::Instant sent_at_{0};
   std::vector<std::string> tried_;
+  // Response of a server that failed, while the request is sent to another.
+  std::optional<CallResult> failure_;
+  BufferHold failure_hold_;
   // Names the server that responded last if it states that it is leaving.
   std::string leaving_server_;
   // Whether another host has passed the request on.
--- /dev/null
+++ b/testsuite/gateway/server_failure_test.py
@@ -0,0 +1,61 @@
+"""Servers that answer with a failure of their own, where the request can't be sent to another one."""
+
+import threading
+
+from gateway_harness import START_TIMEOUT_S, GatewayTestCase
+from standins import SEAL, make_response
+
+
+class ServerFailureTest(GatewayTestCase):
+    def failing(self, name, **row):
+        def fail(request, connection):
+            server.run(request)
+            return make_response(request, b"own failure", status="599 Own Failure")
+
+        server = self.backend(name, fail, **row)
+        return server
+
+    def started_with(self, *names):
+        host = self.started_host()
+        for name in names:
+            host.await_log(f"backend server {name} ")
+        return host
+
+    def assert_own_failure(self, answer):
+        status, headers, body = answer
+        self.assertEqual((599, b"own failure", "sealed"), (status, body, headers[SEAL]))
+
+    # 502 before, after the time that a request may wait for a slot.
+    def test_failure_of_the_only_server_is_delivered(self):
+        server = self.failing("i-1")
+        host = self.started_with("i-1")
+        self.assert_own_failure(host.request())
+        self.assertEqual(["id-1"], server.runs)
+
+    def test_failure_is_delivered_if_the_other_servers_are_full(self):
+        def hold(request, connection):
+            busy.run(request)
+            self.release.wait(START_TIMEOUT_S)
+            return make_response(request, b"held")
+
+        self.release = threading.Event()
+        self.addCleanup(self.release.set)
+        busy = self.backend("i-2", hold, slots=1)
+        host = self.started_with("i-2")
+        holder = threading.Thread(target=host.request, kwargs={"request_id": "held"})
+        holder.start()
+        self.addCleanup(holder.join)
+        self.addCleanup(self.release.set)
+        busy.wait_for(lambda: busy.runs)
+        self.failing("i-1", slots=1)
+        host.await_log("backend server i-1 ")
+        self.assert_own_failure(host.request())
+
+    # Not delivered before: the second server's refusal took its place.
+    def test_failure_is_delivered_if_the_other_server_does_not_run_the_request(self):
+        self.failing("i-1")
+        host = self.started_with("i-1")
+        self.backend("i-2", "shed")
+        host.await_log("backend server i-2 ")
+        for key in range(4):
+            self.assert_own_failure(host.request(request_id=f"id-{key}", key=str(key)))
