Responses that come before the end of a request are read

Callers saw: 502, then 503, for requests with long bodies whose servers answered early and closed the connection.

Cause: the kernel resets a connection that is closed with unread bytes. The host took the failed write for the end and did not read the response that had arrived before; it also counted as a crash of the server.

Change: after a failed write HttpConnection reads what has arrived. A response that would end with the connection does not count as complete, and the connection is not used again.

--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -130,17 +130,30 @@
   asio::async_write(
       socket_, buffers,
       [self = shared_from_this()](std::error_code error, std::size_t) {
+        if (error && !self->closed_) {
+          self->OnWriteFailed(error);
+        }
         self->writing_ = false;
         // An idle connection keeps nothing of its last request.
         std::string().swap(self->request_.head);
         self->request_.body = nullptr;
-        if (error && !self->closed_) {
-          self->unreachable_ = error == asio::error::timed_out;
-          self->Fail("write failed: " + error.message());
-        }
       });
 }
 
+// A peer may respond and end the connection before it has read the whole
+// request. A response that ends with the connection isn't complete then.
+void HttpConnection::OnWriteFailed(std::error_code error) {
+  while (!closed_) {
+    const SocketInput input = ReadAvailable(socket_);
+    if (input.error) {
+      break;
+    }
+    OnInput(input.data);
+  }
+  unreachable_ = error == asio::error::timed_out;
+  Fail("write failed: " + error.message());
+}
+
 void HttpConnection::AwaitInput() {
   reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -55,6 +55,7 @@
   void ResetReader();
   void OnConnected(std::error_code error);
   void Write();
+  void OnWriteFailed(std::error_code error);
   void AwaitInput();
   void ReadInput();
   void OnInput(std::string_view data);
