--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -99,6 +99,7 @@
 
   /// The server at this host's relay address.
   const HttpServer& relay_server() const { return server_; }
+  HttpServer& relay_server() { return server_; }
 
   /// Number of requests for updates that were sent to followed hosts.
   std::uint64_t relay_requests() const { return relay_requests_; }
