Kept connections of HTTP/1.0 callers are announced

Callers saw: no end of the response, until the idle time was over, where they speak HTTP/1.0 and ask for a kept connection.

Cause: the host kept the connection without saying so. HTTP/1.0 callers take it for kept only if the response has Connection: keep-alive, and read to its end otherwise (RFC 9112, 9.3 and C.2.2).

Evidence: the new test of request_form_test failed before (no such field).

Change: HttpSession adds the field for callers that speak HTTP/1.0.

--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -364,6 +364,9 @@
   }
   if (close_after_write_) {
     output_head_ += "Connection: close\r\n";
+  } else if (!accepts_interim_) {
+    // HTTP/1.0 callers otherwise wait for the end of the connection.
+    output_head_ += "Connection: keep-alive\r\n";
   }
   output_head_ += "\r\n";
   if (HasBody(response.status) && !head_request_) {
--- a/testsuite/gateway/request_form_test.py
+++ b/testsuite/gateway/request_form_test.py
@@ -1,5 +1,6 @@
 """Requests in forms that the standard has any server accept."""
 
+import http.client
 import socket
 
 from gateway_harness import START_TIMEOUT_S, GatewayTestCase
@@ -22,6 +23,11 @@
                 self.entry.get(self.entry.ready_port, "/heatherlever/ready")
             return connection.makefile("rb").readline().strip().decode()
 
+    def raw(self):
+        connection = socket.create_connection(("127.0.0.1", self.entry.caller_port), timeout=START_TIMEOUT_S)
+        self.addCleanup(connection.close)
+        return connection
+
     # 404 before: the whole URL counted as the path.
     def test_target_in_absolute_form_is_served(self):
         status = self.exchange(
@@ -51,3 +57,15 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
         self.assertEqual(answer.count(b"HTTP/1.1"), 1)
         self.assertEqual(self.server.seen, [])
+
+    # Callers that speak HTTP/1.0 take a connection for kept only if the response says so (RFC 9112, C.2.2); these waited
+    # for its end until the idle time was over.
+    def test_http_1_0_response_on_a_kept_connection_says_so(self):
+        connection = self.raw()
+        for number in (1, 2):
+            connection.sendall(f"GET /x/1 HTTP/1.0\r\nHost: a.example\r\nConnection: keep-alive\r\n"
+                               f"{REQUEST_ID}: id-{number}\r\n\r\n".encode())
+            response = http.client.HTTPResponse(connection)
+            response.begin()
+            self.assertEqual((response.status, response.read()), (200, b"from i-1"))
+            self.assertEqual(response.headers["Connection"], "keep-alive")
