HTTP/1.0 callers get no interim response

Callers saw: 100 (Continue) in place of the answer, where they speak HTTP/1.0 and send Expect.

Cause: the host did not look at the version. HTTP/1.0 has no interim responses, and a server has to ignore the expectation there (RFC 9110, 10.1.1).

Change: HttpSession sends the interim response from HTTP/1.1 on.

--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -192,7 +192,7 @@
   }
   const std::string* expect =
       reader_.head_complete() ? reader_.head().Find("Expect") : nullptr;
-  if (expect != nullptr && !continue_sent_) {
+  if (expect != nullptr && reader_.head().accepts_interim && !continue_sent_) {
     continue_sent_ = true;
     std::error_code ignored;  // NOLINT: the next read reports the error.
     socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()),
--- a/testsuite/gateway/request_form_test.py
+++ b/testsuite/gateway/request_form_test.py
@@ -69,3 +69,9 @@
             response.begin()
             self.assertEqual((response.status, response.read()), (200, b"from i-1"))
             self.assertEqual(response.headers["Connection"], "keep-alive")
+
+    # RFC 9110, 10.1.1: HTTP/1.0 has no interim responses.
+    def test_http_1_0_caller_gets_no_interim_response(self):
+        head = (f"POST /x/1 HTTP/1.0\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\nContent-Length: 4\r\n"
+                "Expect: 100-continue\r\n\r\n")
+        self.assertEqual(self.exchange(head.encode(), b"ab", b"cd"), "HTTP/1.1 200 OK")
