Trailers are not passed on as header fields

Servers saw: the trailers of a chunked request as header fields, with a Host or a key of their own; callers, those of a response.

Cause: the reader appended the fields after the last chunk to those of the head, without the checks of the head (RFC 9110, 6.5.1).

Evidence: the new test of request_form_test failed before (Host of the trailer).

Change: the reader discards them, as its comment said.

--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -80,6 +80,10 @@
 
   static int OnFieldName(http_parser* parser, const char* at, size_t length) {
     Impl& impl = ImplOf<Impl>(parser);
+    if (impl.head_complete) {
+      // Trailers are discarded.
+      return 0;
+    }
     if (impl.in_value || impl.head.fields.empty()) {
       impl.head.fields.emplace_back();
       impl.in_value = false;
@@ -90,8 +94,10 @@
 
   static int OnFieldValue(http_parser* parser, const char* at, size_t length) {
     Impl& impl = ImplOf<Impl>(parser);
+    if (impl.head_complete) {
+      return 0;
+    }
     impl.in_value = true;
-    // Trailers arrive after the head and are discarded.
     impl.head.fields.back().value.append(at, length);
     return 0;
   }
--- a/testsuite/gateway/request_form_test.py
+++ b/testsuite/gateway/request_form_test.py
@@ -75,3 +75,13 @@
         head = (f"POST /x/1 HTTP/1.0\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\nContent-Length: 4\r\n"
                 "Expect: 100-continue\r\n\r\n")
         self.assertEqual(self.exchange(head.encode(), b"ab", b"cd"), "HTTP/1.1 200 OK")
+
+    # RFC 9110, 6.5.1: trailers are no header fields. They were passed on as such.
+    def test_trailers_are_not_passed_on_as_header_fields(self):
+        head = (f"POST /x/1 HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\n"
+                "Transfer-Encoding: chunked\r\nTrailer: Digest\r\n\r\n4;ext=1\r\nabcd\r\n0\r\n")
+        self.assertEqual(self.exchange(head.encode(), b"Digest: d1\r\nHost: b.example\r\n\r\n"), "HTTP/1.1 200 OK")
+        _, fields, body = self.server.seen[-1]
+        self.assertEqual(body, b"abcd")
+        self.assertEqual(fields["host"], "a.example")
+        self.assertNotIn("digest", fields)
