Connections are not reset as a listening socket closes

Callers saw: connections that were established and then reset, as a stopping host closed its listening socket. A request sent on one may have run, for all that its caller knows; after a refused connection it can be sent elsewhere.

Cause: the host accepted all that waited and then closed the socket; what the kernel established in between was reset.

Change: a socket filter drops SYNs before the last accepts. A caller whose SYN is dropped in that moment is refused when its kernel asks again, 1 s later. In a trial the host waited 50 ms between the filter and the close, for handshakes in flight; that delayed far more callers than it saved and was dropped.

--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -17,6 +17,7 @@
 #include "heathernet/event_loop.h"
 #include "heathersteer/milliseconds.h"
 #include "libheathergate/http_session.h"
+#include "libheathergate/socket_options.h"
 #include "libheathernet/event_loop_impl.h"
 
 namespace heathergate {
@@ -101,6 +102,7 @@
     if (!acceptor_.is_open()) {
       return;
     }
+    DropNewConnections(acceptor_);
     std::error_code error;
     acceptor_.non_blocking(true, error);
     while (!error) {
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -1,5 +1,6 @@
 #include "libheathergate/socket_options.h"
 
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -7,11 +8,14 @@
 #include <array>
 #include <asio/buffer.hpp>
 #include <cerrno>
+#include <cstdint>
 
 namespace heathergate {
 namespace {
 
 constexpr std::size_t kReadBufferBytes = 32768;
+// Offset of the flags in a TCP header.
+constexpr unsigned kTcpFlagsOffset = 13;
 
 }  // namespace
 
@@ -69,6 +73,19 @@
   return poll(&entry, 1, 0) > 0;
 }
 
+void DropNewConnections(asio::ip::tcp::acceptor& acceptor) {
+  std::array<sock_filter, 4> program = {{
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kTcpFlagsOffset),
+      BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+  }};
+  const sock_fprog filter{.len = program.size(), .filter = program.data()};
+  // Without the filter, new connections go on being established.
+  setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+             sizeof(filter));
+}
+
 SocketInput ReadAvailable(asio::ip::tcp::socket& socket) {
   static std::array<char, kReadBufferBytes> buffer;
   SocketInput input;
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -41,6 +41,10 @@
 /// Whether the connection has failed or was reset.
 bool HasFailed(asio::ip::tcp::socket& socket);
 
+/// Lets the kernel drop requests for new connections to a listening socket;
+/// handshakes that have begun still end. Peers ask again a second later.
+void DropNewConnections(asio::ip::tcp::acceptor& acceptor);
+
 /// Result of one read. `data` points into a buffer that all connections share
 /// and is valid until the next read.
 struct SocketInput {
