Guard more forms of requests

Folded fields, empty values and 100 fields, pipelined requests around Connection: close, and TRACE, CONNECT and unknown methods get answers. All of these tests passed before; they guard what was looked at for the incident.

--- a/testsuite/gateway/request_form_test.py
+++ b/testsuite/gateway/request_form_test.py
@@ -85,3 +85,34 @@
         self.assertEqual(body, b"abcd")
         self.assertEqual(fields["host"], "a.example")
         self.assertNotIn("digest", fields)
+
+    # RFC 9112, 5.2: a fold is replaced by spaces, or the request is refused.
+    def test_folded_field_keeps_its_words_apart(self):
+        status = self.exchange(f"GET /x/1 HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\n"
+                               "Folded: one\r\n  two\r\n\r\n".encode())
+        if status == "HTTP/1.1 200 OK":
+            self.assertEqual(self.server.seen[-1][1]["folded"].split(), ["one", "two"])
+        else:
+            self.assertEqual(status, "HTTP/1.1 400 Bad Request")
+
+    def test_many_fields_and_empty_values_are_passed_on(self):
+        lines = "".join(f"Field-{number}: {'' if number % 2 else number}\r\n" for number in range(100))
+        self.assertEqual(self.exchange(
+            f"GET /x/1 HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\n{lines}\r\n".encode()), "HTTP/1.1 200 OK")
+        fields = self.server.seen[-1][1]
+        self.assertEqual([fields[f"field-{number}"] for number in range(100)],
+                         ["" if number % 2 else str(number) for number in range(100)])
+
+    def test_requests_before_the_one_that_closes_the_connection_are_answered(self):
+        connection = self.raw()
+        for number, more in enumerate(("", "Connection: close\r\n", "")):
+            connection.sendall(f"GET /x/1 HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-{number}\r\n{more}\r\n".encode())
+        stream = connection.makefile("rb")
+        received = stream.read()
+        self.assertEqual(received.count(b"HTTP/1.1 200 OK"), 2)
+        self.assertEqual(self.server.runs, ["id-0", "id-1"])
+
+    def test_unknown_methods_get_an_answer(self):
+        for line in ("TRACE /x/1", "CONNECT a.example:80", "CONNECT /x/1", "UNHEARD /x/1"):
+            status = self.exchange(f"{line} HTTP/1.1\r\nHost: a.example\r\n{REQUEST_ID}: id-1\r\n\r\n".encode())
+            self.assertRegex(status, "HTTP/1.1 [245]..", line)
