Stop hosts while they start and disturb deployments under load

start_deployment.py sends SIGTERM to hosts while they start, draws faults from the seed (stops with and without a supervisor that kills at the grace, kills, pauses, SIGHUP, downtime of the store), hits all hosts at once and takes another share of the work. Callers keep connections. A request without an answer is lost unless its host was killed or paused meanwhile; requests that run twice, or are rejected after they ran, count too. Requests are sent to stopping hosts as well.

--- a/testsuite/deployment/start_deployment.py
+++ b/testsuite/deployment/start_deployment.py
@@ -2,8 +2,10 @@
 
 Every host runs with the command of the deploy file; backend servers, kinds of requests and rates are those of the site
 file. Reports, for each start: hosts that ended by themselves, the time until all were ready, and the requests of each
-kind that got no answer. Exits with 1 if a host ended by itself, was not ready in time or did not stop in its grace, or if
-a request got no answer. `python3 start_deployment.py --help` lists the options."""
+kind that got no answer. Hosts may be stopped while they start, and faults drawn from the seed may come during the load.
+Exits with 1 if a host ended by itself, was not ready in time or did not stop in its grace, if a request got no answer
+though its host was neither killed nor paused, or if one that may run once ran twice or was rejected after it had run.
+`python3 start_deployment.py --help` lists the options."""
 
 import argparse
 import asyncio
@@ -17,6 +19,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "review"))
 import rig
+from caller import Caller
+from faults import Faults
 
 READY_TIMEOUT_S = 20
 # Grace of the settings, and what a busy machine may add to it.
@@ -55,13 +59,15 @@
             for place in service["servers"]:
                 for _ in range(place["count"]):
                     name = f"i-{len(self.backends)}"
-                    # Warm servers take about a third of the work.
-                    backend = self.case.backend(name, service["name"], place["zone"], service["slots"], work_ms[0] / 3000)
+                    backend = self.case.backend(name, service["name"], place["zone"], service["slots"],
+                                                work_ms[0] / 1000 * options.work_share)
                     self.backends.append(backend)
                     self.store.put("servers", name, backend.row())
         self.hosts = []
+        self.caller = Caller(random.Random(options.seed))
+        self.faults = Faults(self.hosts, self.store, self.case.record, random.Random(options.seed))
         self.ends = collections.Counter()
-        self.lost = collections.Counter()
+        self.breaches = collections.Counter()
         self.statuses = collections.Counter()
 
     def make_hosts(self):
@@ -97,8 +103,27 @@
             if self.options.hangup_ms is not None:
                 time.sleep(self.options.hangup_ms / 1000)
                 host.signal(signal.SIGHUP)
+            if self.options.terminate_ms:
+                time.sleep(self.random.uniform(*self.options.terminate_ms) / 1000)
+                self.terminate(host)
             time.sleep(START_SPREAD_S / len(self.hosts) * self.random.random())
 
+    def terminate(self, host):
+        host.expected_end = True
+        host.terminated = time.monotonic()
+        host.signal(signal.SIGTERM)
+
+    def await_terminated(self):
+        """Returns the hosts that did not end in their grace by the signal or with exit code 0, and all exit codes."""
+        while any(host.process.poll() is None and time.monotonic() < host.terminated + STOP_TIMEOUT_S
+                  for host in self.hosts):
+            time.sleep(0.02)
+        ends = collections.Counter(host.process.poll() for host in self.hosts)
+        self.case.record(f"ends of stopped starts: {dict(ends)}")
+        # Before its handler is there, the signal ends the process.
+        bad = [(host.name, host.process.poll()) for host in self.hosts if host.process.poll() not in (0, -signal.SIGTERM)]
+        return bad, dict(ends)
+
     def check_ends(self, restart=True):
         for host in self.hosts:
             if host.process.poll() is not None and not getattr(host, "expected_end", False):
@@ -123,7 +148,23 @@
 
     async def load(self, seconds):
         tasks = [asyncio.create_task(self.load_kind(kind, seconds)) for kind in self.site["classes"]]
+        if self.options.faults:
+            tasks.append(asyncio.create_task(self.faults.run(seconds)))
+        if self.options.all_at_once:
+            tasks.append(asyncio.create_task(self.faults.hit_all(self.options.all_at_once, seconds / 2)))
         await asyncio.gather(*tasks)
+        self.judge()
+
+    def judge(self):
+        runs = collections.Counter(request_id for backend in self.backends for _, request_id in backend.runs)
+        for what, attempt in self.caller.breaches(runs, self.faults.excused, self.faults.stopping):
+            self.breaches[what, attempt.kind, attempt.status] += 1
+            age_s = None if attempt.sent is None else round(attempt.end - attempt.sent, 3)
+            self.case.record(
+                f"{what}: {attempt.request_id}, {attempt.kind}, at {attempt.host.name}, status {attempt.status}, begun "
+                f"{attempt.begin - self.case.record.begin:.3f}, ended {age_s} s after it was sent, "
+                f"{'kept' if attempt.kept else 'new'} connection, stop or start {self.faults.stopping(attempt)}, "
+                f"runs {runs[attempt.request_id]}, {attempt.problem}")
 
     async def load_kind(self, kind, seconds):
         share = sum(place["mix"].get(kind["name"], 0) / sum(place["mix"].values()) * place["per_s"]
@@ -136,15 +177,10 @@
         await asyncio.gather(*requests)
 
     async def request(self, kind):
-        host = self.random.choice([host for host in self.hosts if not getattr(host, "expected_end", False)])
         size = int(kind["req_bytes"]["mean"]) if kind["method"] != "GET" else 0
-        request_id, status, _, _ = await rig.client_request(
-            self.case.record, host.front, kind["method"], self.routes[kind["name"]] + "2f", int(kind["deadline_ms"]),
-            self.random.randrange(kind["things"]), b"x" * size)
-        self.statuses[kind["name"], status] += 1
-        if status <= 0:
-            self.lost[kind["name"], status] += 1
-            self.case.record(f"no answer ({status}) to {request_id}, {kind['name']}, at {host.name}")
+        attempt = await self.caller.send(
+            kind, self.random.choice(self.hosts), self.routes[kind["name"]] + "2f", b"x" * size)
+        self.statuses[kind["name"], attempt.status] += 1
 
     def stop(self):
         """Returns the hosts that did not end by SIGTERM with exit code 0."""
@@ -160,6 +196,7 @@
         return bad
 
     def close(self):
+        self.case.loop.loop.call_soon_threadsafe(self.caller.close)
         for host in self.hosts:
             if host.process:
                 host.stop()
@@ -170,6 +207,22 @@
         server.close()
 
 
+def judge_stops(deployment):
+    bad_stops, ends = deployment.await_terminated()
+    return not bad_stops, f"exit codes {ends}, bad stops {bad_stops}"
+
+
+def judge_run(deployment, options):
+    ready_s = deployment.await_ready()
+    if options.load_s > 0:
+        deployment.case.loop.run(deployment.load(options.load_s))
+    deployment.check_ends(restart=False)
+    bad_stops = deployment.faults.bad + (deployment.stop() if options.stop else [])
+    kept = ready_s is not None and not deployment.ends and not deployment.breaches and not bad_stops
+    return kept, (f"ready after {ready_s if ready_s is None else round(ready_s, 2)} s, ends {dict(deployment.ends)}, "
+                  f"breaches {dict(deployment.breaches)}, bad stops {bad_stops}, statuses {dict(deployment.statuses)}")
+
+
 def run(site, options, number):
     folder = os.path.join(options.folder, f"start-{number}")
     os.makedirs(folder, exist_ok=True)
@@ -177,15 +230,8 @@
     try:
         deployment.make_hosts()
         deployment.start()
-        ready_s = deployment.await_ready()
-        if options.load_s > 0:
-            deployment.case.loop.run(deployment.load(options.load_s))
-        deployment.check_ends(restart=False)
-        bad_stops = deployment.stop() if options.stop else []
-        kept = ready_s is not None and not deployment.ends and not deployment.lost and not bad_stops
-        print(f"start {number}: {'kept' if kept else 'BROKEN'}, ready after {ready_s if ready_s is None else round(ready_s, 2)} s, "
-              f"ends {dict(deployment.ends)}, lost {dict(deployment.lost)}, bad stops {bad_stops}, "
-              f"statuses {dict(deployment.statuses)}", flush=True)
+        kept, report = judge_stops(deployment) if options.terminate_ms else judge_run(deployment, options)
+        print(f"start {number} of seed {options.seed}: {'kept' if kept else 'BROKEN'}, {report}", flush=True)
         if not kept:
             for host in deployment.hosts:
                 if os.path.exists(host.log):
@@ -204,6 +250,14 @@
     parser.add_argument("--scale", type=float, default=1, help="share of the site's rates")
     parser.add_argument("--shared-address", action="store_true", help="all hosts at one address, with ports of their own")
     parser.add_argument("--hangup-ms", type=float, help="SIGHUP to each host so long after its start")
+    parser.add_argument("--terminate-ms", type=float, nargs=2, metavar=("FROM", "TO"),
+                        help="SIGTERM to each host a time in this range after its start, in place of load")
+    parser.add_argument("--faults", action="store_true",
+                        help="stops, kills, pauses and reloads of hosts and downtime of the store during the load")
+    parser.add_argument("--all-at-once", choices=("terminate", "kill", "hang_up", "pause"),
+                        help="fault of all hosts at once in the middle of the load")
+    parser.add_argument("--work-share", type=float, default=1 / 3,
+                        help="share of the site's work that each request takes; warm servers take about a third")
     parser.add_argument("--stop", action="store_true", help="SIGTERM to all hosts at the end of each start")
     parser.add_argument("--folder", default="deployment-logs", help="for records, and for the logs of broken starts")
     parser.add_argument("--root", default=rig.ROOT, help="repository whose deploy file and build are run")
