Soak: note a restart before the host starts

A restart since the statement excuses a host. The check noted the restart after start() had returned, later than a caller could send.

Noted before the start, no request of the process before it is excused, as that has ended.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -190,8 +190,9 @@
             self.findings.append(f"{host.name} did not end within {GRACE_S} s of a stop signal")
             host.process.kill()
             host.process.wait()
-        host.start()
+        # A caller may send before start() returns.
         self.note_disturbance(host)
+        host.start()
 
     def close(self):
         for host in self.hosts:
