--- a/testsuite/deployment/start_deployment.py
+++ b/testsuite/deployment/start_deployment.py
@@ -27,6 +27,7 @@
 STOP_TIMEOUT_S = 6 + 2
 RESTART_DELAY_S = 0.5
 START_SPREAD_S = 0.3
+SEEDS = 3
 SHARED_FIRST_PORT, SHARED_LAST_PORT = 12000, 30000
 
 
@@ -64,6 +65,7 @@
                     self.backends.append(backend)
                     self.store.put("servers", name, backend.row())
         self.hosts = []
+        self.shared_controls = []
         self.caller = Caller(random.Random(options.seed))
         self.faults = Faults(self.hosts, self.store, self.case.record, random.Random(options.seed))
         self.ends = collections.Counter()
@@ -89,9 +91,10 @@
         """Settings of a host at the address that all share, with ports of its own."""
         base = SHARED_FIRST_PORT + (os.getpid() * 7919 + number * 30) % (SHARED_LAST_PORT - SHARED_FIRST_PORT)
         ip = f"{self.case.prefix}.1"
+        self.shared_controls.append(f"{ip}:{base + 2}")
         return {"ip": ip, "internalPorts": [base + 5, base + 20],
                 "listen": {name: f"{ip}:{base + n}" for n, name in enumerate(("front", "ready", "control", "directory"))},
-                "seeds": []}
+                "seeds": self.shared_controls[:SEEDS]}
 
     def endpoint(self, host, name):
         ip, port = host.settings["listen"][name].split(":")
@@ -269,7 +272,7 @@
     for number in range(options.starts):
         broken += not run(site, options, number)
         options.seed += 1
-    print(f"{options.starts - broken} of {options.starts} starts kept")
+    print(f"{options.starts - broken} of {options.starts} starts kept", flush=True)
     os._exit(1 if broken else 0)
 
 
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -13,6 +13,7 @@
 from departures import Departures
 from gateway_harness import Host, config, route
 from links import LinkSet
+from standins import REQUEST_ID
 
 DOMAINS = ("d-a", "d-a", "d-b", "e-a")
 BACKENDS = 4
@@ -149,8 +150,8 @@
         for host in self.hosts:
             for key in range(12):
                 self.send_check(host, "/x/1", str(key))
-        late = len(self.backends[0].seen) - before
-        return [f"{late} requests reached a server that was draining"] if late else []
+        late = [(first, headers.get(REQUEST_ID.lower())) for first, headers, _ in self.backends[0].seen[before:]]
+        return [f"{len(late)} requests reached a server that was draining: {late}"] if late else []
 
     def send_check(self, host, path, key):
         self.check_ids.append(f"check-{len(self.check_ids)}")
