A failure that replaces a time-out counts as the time-out

Cause: a kept failure went through the path of delivered responses, which counts a request as served beside the time-out.

Change: Fail() passes the failure on with its own reason and counters, and the log names the server whose failure it is.

--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -236,7 +236,8 @@
   HttpResponse response =
       HttpResponse::Of(result.head.status, std::move(result.body));
   response.head_length = "";
-  DeliverResponse(std::move(response), result.head, {});
+  AddFields(result.head, {}, response);
+  DeliverResponse(std::move(response), result.head.status);
 }
 
 void ForwardedRequest::EndUnplaced(const char* reason) {
@@ -618,11 +619,12 @@
     return;
   }
   const std::size_t bytes = result.body.size();
+  failed_server_ = tried_.back();
   failure_ = std::move(result);
   failure_hold_.HoldResponse(bytes);
 }
 
-void ForwardedRequest::Deliver(CallResult result) {
+HttpResponse ForwardedRequest::ResponseOf(CallResult result) const {
   HttpResponse response =
       HttpResponse::Of(result.head.status, std::move(result.body));
   // Hosts of builds that don't know of responses without a body would wait for
@@ -636,13 +638,14 @@
     // on, nor is the signature that covers it.
     response.status = kStatusBadGateway;
   }
-  DeliverResponse(std::move(response), result.head,
-                  changed ? gateway_.options_.names.signature : "");
+  AddFields(result.head, changed ? gateway_.options_.names.signature : "",
+            response);
+  return response;
 }
 
-void ForwardedRequest::DeliverResponse(HttpResponse response,
-                                       const HttpHead& head,
-                                       const std::string& dropped_field) {
+void ForwardedRequest::AddFields(const HttpHead& head,
+                                 const std::string& dropped_field,
+                                 HttpResponse& response) const {
   const HeaderNames& names = gateway_.options_.names;
   const std::string* connection = head.Find("Connection");
   for (const HeaderField& field : head.fields) {
@@ -656,8 +659,17 @@
   if (detoured_ && !leaving_server_.empty()) {
     response.fields.push_back({names.leaving_server, leaving_server_});
   }
+}
+
+void ForwardedRequest::Deliver(CallResult result) {
+  const int status = result.head.status;
+  DeliverResponse(ResponseOf(std::move(result)), status);
+}
+
+void ForwardedRequest::DeliverResponse(HttpResponse response,
+                                       int server_status) {
   heathersteer::OverloadThrottle& throttle = gateway_.Throttle(route_.name);
-  if (head.status == kStatusGatewayTimeout) {
+  if (server_status == kStatusGatewayTimeout) {
     throttle.RecordTimeout(EventLoop::Now());
   } else {
     throttle.RecordServed(EventLoop::Now());
@@ -673,13 +685,16 @@
 }
 
 void ForwardedRequest::Fail(int status, const char* reason) {
-  if (auto failure = std::exchange(failure_, std::nullopt)) {
-    failure_hold_.Release();
-    Deliver(*std::move(failure));
+  ++gateway_.counters_.failed;
+  auto failure = std::exchange(failure_, std::nullopt);
+  failure_hold_.Release();
+  if (!failure) {
+    Finish(HttpResponse::Of(status), reason);
     return;
   }
-  ++gateway_.counters_.failed;
-  Finish(HttpResponse::Of(status), reason);
+  spdlog::info("request id={} gets the failure of {} in place of status {}",
+               id_, failed_server_, status);
+  Finish(ResponseOf(*std::move(failure)), reason);
 }
 
 void ForwardedRequest::OnDeadline() {
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -83,11 +83,15 @@
   void Retry(CallResult result);
   // Keeps a server's failure in case no other server answers.
   void KeepFailure(CallResult result);
+  // A server's response as its caller gets it.
+  HttpResponse ResponseOf(CallResult result) const;
+  // Adds the fields of `head` that are passed on, but `dropped_field`.
+  void AddFields(const HttpHead& head,
+                 const std::string& dropped_field,
+                 HttpResponse& response) const;
   void Deliver(CallResult result);
-  // Passes on a response with the fields of `head` but `dropped_field`.
-  void DeliverResponse(HttpResponse response,
-                       const HttpHead& head,
-                       const std::string& dropped_field);
+  // `server_status` is the one that the server has given.
+  void DeliverResponse(HttpResponse response, int server_status);
   void Reject(const char* reason);
   // Passes on the failure of a server if there is one, else `status`.
   void Fail(int status, const char* reason);
@@ -123,6 +127,7 @@
   std::vector<std::string> tried_;
   // Response of a server that failed, while the request is sent to another.
   std::optional<CallResult> failure_;
+  std::string failed_server_;
   BufferHold failure_hold_;
   // Names the server that responded last if it states that it is leaving.
   std::string leaving_server_;
--- a/testsuite/gateway/server_failure_test.py
+++ b/testsuite/gateway/server_failure_test.py
@@ -1,10 +1,13 @@
 """Servers that answer with a failure of their own, where the request can't be sent to another one."""
 
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 from gateway_harness import START_TIMEOUT_S, GatewayTestCase
 from standins import SEAL, make_response
 
+REQUESTS = 40
+
 
 class ServerFailureTest(GatewayTestCase):
     def failing(self, name, **row):
@@ -51,6 +54,25 @@
         host.await_log("backend server i-1 ")
         self.assert_own_failure(host.request())
 
+    # Each of them counted as served, too, so that requests went on to servers that can't answer in time.
+    def test_failures_that_are_delivered_at_the_deadline_count_as_timed_out(self):
+        def hang(request, connection):
+            self.release.wait(START_TIMEOUT_S)
+            return None
+
+        self.release = threading.Event()
+        self.addCleanup(self.release.set)
+        self.failing("i-1", slots=2 * REQUESTS)
+        self.backend("i-2", hang, slots=2 * REQUESTS)
+        host = self.started_with("i-1", "i-2")
+        with ThreadPoolExecutor(REQUESTS) as pool:
+            for wave in range(2):
+                answers = list(pool.map(lambda n, wave=wave: host.request(
+                    request_id=f"id-{wave}-{n}", key=str(n), deadline_ms=400)[0], range(REQUESTS)))
+        host.await_log('reason="deadline passed"')
+        # None was served, so that nearly all are rejected.
+        self.assertGreater(answers.count(503), REQUESTS * 5 / 6, answers)
+
     # Not delivered before: the second server's refusal took its place.
     def test_failure_is_delivered_if_the_other_server_does_not_run_the_request(self):
         self.failing("i-1")
