A reset while a request is written does not end a response

Cause: a failed write takes the error of the connection; a read then finds its end, as if the server had closed it.

Change: while a request is written, the end of the connection ends no response.

--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -234,7 +234,9 @@
     Close();
     return;
   }
-  const bool closed_by_peer = error == asio::error::eof;
+  // A failed write takes the connection's error, so that the reset which caused
+  // it reads as the end.
+  const bool closed_by_peer = error == asio::error::eof && !writing_;
   if (closed_by_peer && reader_.head_complete() &&
       reader_.FeedEnd() == ReadStatus::kComplete && EchoMatches()) {
     reader_.head().keep_alive = false;
