--- a/testsuite/gateway/stopping_servers_test.py
+++ b/testsuite/gateway/stopping_servers_test.py
@@ -10,6 +10,8 @@
 ROUNDS = 3
 CALLERS = 4
 GRACE_S = 1.0
+# Less than the idle time of callers, after which the connection ends in any case.
+LONG_GRACE_S = 14
 PATHS = {
     "directory_port": "/heatherlever/resolve?name=a.example&region=r-d&zone=d-a",
     "ready_port": "/heatherlever/ready",
@@ -36,6 +38,15 @@
         self.assertGreater(self.answered, ROUNDS * CALLERS * len(PATHS))
         self.assertEqual([], self.lost, f"of {self.answered + len(self.lost)}")
 
+    # A host waited for the rest of the request until the end of its grace.
+    def test_unfinished_request_at_an_own_endpoint_does_not_hold_a_stop(self):
+        host = self.started_host(bounds={"grace": f"{LONG_GRACE_S * 1000}ms"})
+        with socket.create_connection(("127.0.0.1", host.metrics_port)) as connection:
+            connection.sendall(b"POST /metrics HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\nx")
+            self.assertEqual(host.get(host.ready_port, "/heatherlever/ready")[0], 200)
+            host.process.terminate()
+            self.assertEqual(0, host.process.wait(timeout=LONG_GRACE_S * 3 / 4))
+
     def ask_until_refused(self, port, path):
         """Sends requests on a connection until a response ends it, then on the next one."""
         while True:
