Numbers of peers that are no integers are refused

Found by the second review, by reading: get() converts any number to the type that is asked for, so that hosts counted as one, and 1e300 is an undefined conversion. The new test of relay_codec_test failed before by reading; it passes (heathergate_test).

--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -22,18 +22,25 @@
 
 // Demand is sent in thousandths of a request/s.
 constexpr double kMilli = 1000;
-// Beyond any deployment, and small enough for sums of some sources.
-constexpr int kMaxHosts = 1'000'000;
+// Keeps sums of several sources within an int.
+constexpr std::int64_t kMaxHosts = 1'000'000;
+
+// Throws json::exception unless the value is an integer; get() would convert
+// any number, however large.
+std::int64_t ToInteger(const json& value) {
+  return value.get_ref<const json::number_integer_t&>();
+}
 
 // The time of an event, of which peers send the age: not after now, and at the
 // earliest Instant(0).
 Instant TimeOfAge(const json& value, Instant now) {
-  const Duration age(value.get<std::int64_t>());
+  const Duration age(ToInteger(value));
   return now - std::clamp(age, Duration(0), now);
 }
 
 int ToHostCount(const json& value) {
-  return std::clamp(value.get<int>(), 0, kMaxHosts);
+  return static_cast<int>(
+      std::clamp(ToInteger(value), std::int64_t{0}, kMaxHosts));
 }
 
 json FromServer(const BackendServer& server, Instant now) {
@@ -61,7 +68,7 @@
   server.domain = value.at("domain").get<std::string>();
   server.slots = value.at("slots").get<int>();
   server.draining = value.at("draining").get<bool>();
-  const Duration cold(value.at("cold_us").get<std::int64_t>());
+  const Duration cold(ToInteger(value.at("cold_us")));
   server.cold_until = cold.count() > 0
                           ? now + std::min(cold, Duration::max() - now)
                           : Instant{0};
@@ -161,7 +168,7 @@
     report.server_id = server.at(0).get<std::string>();
     report.started_ms = server.at(1).get<std::int64_t>();
     report.limit = std::max(0.0, server.at(2).get<double>());
-    const bool observed = server.at(3).get<std::int64_t>() >= 0;
+    const bool observed = ToInteger(server.at(3)) >= 0;
     report.observed_at = observed ? TimeOfAge(server.at(3), now) : Instant(0);
     report.demand =
         std::max(0.0, static_cast<double>(server.at(4).get<std::int64_t>())) /
@@ -192,7 +199,7 @@
   for (const json& entry : value) {
     CrashSuspect& suspect = suspects.emplace_back();
     suspect.fingerprint = entry.at(0).get<std::uint64_t>();
-    const bool cleared = entry.at(1).get<std::int64_t>() >= 0;
+    const bool cleared = ToInteger(entry.at(1)) >= 0;
     suspect.cleared_at = cleared ? TimeOfAge(entry.at(1), now) : Instant(0);
     for (const json& crash : entry.at(2)) {
       suspect.crashes.push_back(
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -86,6 +86,21 @@
   }
 }
 
+// Larger numbers were converted to others.
+TEST(RelayCodecTest, NumbersBeyondAnIntAreBoundedOrRefused) {
+  const auto report = [](const std::string& hosts, const std::string& age) {
+    return DecodeDomainReport(
+        R"({"domain":"d","needs_suspects":true,"suspects":[[1,)" + age +
+            R"(,[]]],"limits":{"hosts":)" + hosts + R"(,"servers":[]}})",
+        seconds(500));
+  };
+  const auto decoded = report("4294967297", "1");
+  ASSERT_TRUE(decoded);
+  EXPECT_GT(decoded->limits->hosts, 1000);
+  EXPECT_FALSE(report("1e300", "1"));
+  EXPECT_FALSE(report("1", "1e300"));
+}
+
 TEST(RelayCodecTest, SuspectsRoundTripKeepsAges) {
   DomainReport report;
   report.domain = "north-a";
