--- a/src/libheathernet/boot_clock.cc
+++ b/src/libheathernet/boot_clock.cc
@@ -5,7 +5,7 @@
 namespace heathernet {
 namespace {
 
-// Longer than any age that is compared.
+// Events of before the boot, whose ages other hosts send, are within it.
 constexpr std::chrono::hours kEpochBeforeBoot{24};
 
 }  // namespace
