--- a/testsuite/deployment/faults.py
+++ b/testsuite/deployment/faults.py
@@ -23,6 +23,8 @@
         self.store_busy = False
         # (host, begin, end) of kills and pauses, and of stops and starts.
         self.harmed, self.stopped = [], []
+        # Of stalls of the machine that all hosts run on, which excuse unanswered requests but no rule on sums.
+        self.stalled = []
         self.bad = []
 
     async def run(self, seconds):
@@ -129,7 +131,7 @@
                    for host, begin, end in intervals)
 
     def excused(self, attempt):
-        return self.overlaps(self.harmed, attempt)
+        return self.overlaps(self.harmed + self.stalled, attempt)
 
     def stopping(self, attempt):
         return self.overlaps(self.stopped, attempt)
--- a/testsuite/deployment/start_deployment.py
+++ b/testsuite/deployment/start_deployment.py
@@ -4,7 +4,8 @@
 file. Reports, for each start: hosts that ended by themselves, the time until all were ready, and the requests of each
 kind that got no answer. Hosts may be stopped while they start, and faults drawn from the seed may come during the load.
 Exits with 1 if a host ended by itself, was not ready in time or did not stop in its grace, if a request got no answer
-though its host was neither killed nor paused, or if one that may run once ran twice or was rejected after it had run.
+though its host was neither killed nor paused, if one that may run once ran twice or was rejected after it had run, or if
+a rule on the sums over all hosts was broken (docs/design/deployment-judge.md).
 `python3 start_deployment.py --help` lists the options."""
 
 import argparse
@@ -19,8 +20,12 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "review"))
 import rig
+import herd_faults
 from caller import Caller
 from faults import Faults
+from fleet_judgement import FleetJudgement, site_bounds
+from observed_server import ObservedServer, Ticks
+from socket_owners import SocketOwners
 
 READY_TIMEOUT_S = 20
 # Grace of the settings, and what a busy machine may add to it.
@@ -49,28 +54,41 @@
         rig.ZONES.update({zone["name"]: zone["region"] for zone in site["zones"]})
         self.store = self.case.store()
         self.routes = {kind["name"]: f"/k{number}/" for number, kind in enumerate(site["classes"])}
-        self.store.put("op", "config", rig.config(7, {
-            kind["name"]: rig.route(
-                self.routes[kind["name"]], "idempotent" if kind["kind"] == "safe" else "non_idempotent", kind["service"],
-                int(kind["deadline_ms"]), kind["aim_ms"], kind["priority"])
-            for kind in site["classes"]}, [service["name"] for service in site["services"]]))
+        self.store.put("op", "config", self.config())
+        self.hosts = []
+        self.ticks = Ticks()
+        self.case.loop.start(self.ticks.run())
+        self.owners = SocketOwners(self.hosts)
         self.backends = []
         for service in site["services"]:
             work_ms = [kind["work_ms"]["mean"] for kind in site["classes"] if kind["service"] == service["name"]]
             for place in service["servers"]:
                 for _ in range(place["count"]):
                     name = f"i-{len(self.backends)}"
-                    backend = self.case.backend(name, service["name"], place["zone"], service["slots"],
-                                                work_ms[0] / 1000 * options.work_share)
+                    backend = ObservedServer(
+                        self.case, self.ticks, self.owners, name, service["name"], place["zone"], service["slots"],
+                        work_ms[0] / 1000 * options.work_share, {key: service[key] for key in ("cold_s", "cold_x")})
                     self.backends.append(backend)
                     self.store.put("servers", name, backend.row())
-        self.hosts = []
         self.shared_controls = []
         self.caller = Caller(random.Random(options.seed))
         self.faults = Faults(self.hosts, self.store, self.case.record, random.Random(options.seed))
+        self.herd = herd_faults.HerdFaults(options, self.faults, self.backends, random.Random(options.seed))
         self.ends = collections.Counter()
         self.breaches = collections.Counter()
         self.statuses = collections.Counter()
+        self.findings = []
+
+    def config(self):
+        config = rig.config(7, {
+            kind["name"]: rig.route(
+                self.routes[kind["name"]], "idempotent" if kind["kind"] == "safe" else "non_idempotent", kind["service"],
+                int(kind["deadline_ms"]), kind["aim_ms"], kind["priority"])
+            for kind in self.site["classes"]}, [service["name"] for service in self.site["services"]])
+        for service in self.site["services"]:
+            config["services"][service["name"]].update(
+                maxConnections=service["conn_cap"], coldStart=f"{service['cold_s']:g}s", coldPerS=service["cold_per_s"])
+        return config
 
     def make_hosts(self):
         """Writes the settings of every host without starting it."""
@@ -79,7 +97,8 @@
         try:
             zones = [zone for group in self.site["machines"] for zone in [group["zone"]] * group["count"]]
             for number, zone in enumerate(zones, 1):
-                settings = self.shared_address(number) if self.options.shared_address else None
+                settings = self.shared_address(number) if self.options.shared_address else {}
+                settings["bounds"] = site_bounds(self.site)
                 self.hosts.append(rig.Machine(self.case, number, zone, self.store.address, settings))
         finally:
             rig.Machine.start = start
@@ -155,6 +174,7 @@
             tasks.append(asyncio.create_task(self.faults.run(seconds)))
         if self.options.all_at_once:
             tasks.append(asyncio.create_task(self.faults.hit_all(self.options.all_at_once, seconds / 2)))
+        tasks.append(asyncio.create_task(self.herd.run(seconds)))
         await asyncio.gather(*tasks)
         self.judge()
 
@@ -168,6 +188,13 @@
                 f"{attempt.begin - self.case.record.begin:.3f}, ended {age_s} s after it was sent, "
                 f"{'kept' if attempt.kept else 'new'} connection, stop or start {self.faults.stopping(attempt)}, "
                 f"runs {runs[attempt.request_id]}, {attempt.problem}")
+        judgement = FleetJudgement(self)
+        self.findings = judgement.findings()
+        self.case.record(judgement.text)
+        print(f"  {judgement.text}")
+        for finding in self.findings:
+            self.case.record(str(finding))
+            print(f"  {finding}")
 
     async def load_kind(self, kind, seconds):
         share = sum(place["mix"].get(kind["name"], 0) / sum(place["mix"].values()) * place["per_s"]
@@ -199,6 +226,7 @@
         return bad
 
     def close(self):
+        self.owners.close()
         self.case.loop.loop.call_soon_threadsafe(self.caller.close)
         for host in self.hosts:
             if host.process:
@@ -221,7 +249,8 @@
         deployment.case.loop.run(deployment.load(options.load_s))
     deployment.check_ends(restart=False)
     bad_stops = deployment.faults.bad + (deployment.stop() if options.stop else [])
-    kept = ready_s is not None and not deployment.ends and not deployment.breaches and not bad_stops
+    kept = (ready_s is not None and not deployment.ends and not deployment.breaches and not bad_stops
+            and not any(finding.cases for finding in deployment.findings))
     return kept, (f"ready after {ready_s if ready_s is None else round(ready_s, 2)} s, ends {dict(deployment.ends)}, "
                   f"breaches {dict(deployment.breaches)}, bad stops {bad_stops}, statuses {dict(deployment.statuses)}")
 
@@ -259,6 +288,7 @@
                         help="stops, kills, pauses and reloads of hosts and downtime of the store during the load")
     parser.add_argument("--all-at-once", choices=("terminate", "kill", "hang_up", "pause"),
                         help="fault of all hosts at once in the middle of the load")
+    herd_faults.add_options(parser)
     parser.add_argument("--work-share", type=float, default=1 / 3,
                         help="share of the site's work that each request takes; warm servers take about a third")
     parser.add_argument("--stop", action="store_true", help="SIGTERM to all hosts at the end of each start")
