A request that crashes servers may come again and again in a deployment

A server that is silent now also leaves its open connections without an answer in place of closing them, and the finding on cold servers says how the worst second was spread, to tell requests that waited from limiters that are due together.

--- a/testsuite/deployment/caller.py
+++ b/testsuite/deployment/caller.py
@@ -26,6 +26,7 @@
     kept: bool = False
     problem: str = ""
     mixed: bool = False
+    path: str = ""
 
 
 class Caller:
@@ -34,9 +35,11 @@
         self.idle = collections.defaultdict(list)
         self.attempts = []
 
-    async def send(self, kind, host, path, body):
-        """Sends one request over a kept connection of the host or a new one, and returns the attempt."""
-        attempt = Attempt(rig.new_id(), kind["name"], host, kind["kind"] == "safe", time.monotonic())
+    async def send(self, kind, host, path, body, key=None):
+        """Sends one request over a kept connection of the host or a new one, and returns the attempt. Without a key it
+        is about any object."""
+        attempt = Attempt(rig.new_id(), kind["name"], host, kind["kind"] == "safe", time.monotonic(), path=path)
+        key = self.draw.randrange(kind["things"]) if key is None else key
         self.attempts.append(attempt)
         connection = None
         try:
@@ -47,7 +50,7 @@
                 else:
                     connection = await asyncio.open_connection(*host.front)
                 reader, writer = connection
-                writer.write(self.head(kind, attempt, path, body) + body)
+                writer.write(self.head(kind, attempt, path, body, key) + body)
                 attempt.sent = time.monotonic()
                 await writer.drain()
                 first, fields, _ = await rig.read_message(reader)
@@ -66,10 +69,10 @@
                 connection[1].close()
         return attempt
 
-    def head(self, kind, attempt, path, body):
+    def head(self, kind, attempt, path, body, key):
         length = f"Content-Length: {len(body)}\r\n" if kind["method"] != "GET" else ""
         return (f"{kind['method']} {path} HTTP/1.1\r\nHost: jepu9.example\r\n{rig.REQUEST_ID}: {attempt.request_id}\r\n"
-                f"Heatherlever-Affinity-Key: {self.draw.randrange(kind['things'])}\r\n"
+                f"Heatherlever-Affinity-Key: {key}\r\n"
                 f"Heatherlever-Deadline-Remaining: {int(kind['deadline_ms'])}\r\n{length}\r\n").encode()
 
     def close(self):
--- a/testsuite/deployment/fleet_judgement.py
+++ b/testsuite/deployment/fleet_judgement.py
@@ -1,5 +1,7 @@
 """Judges the sums over all hosts of a deployment that ran."""
 
+import collections
+
 import rig
 from fleet_rules import Bounds, FleetRules, Request
 
@@ -23,7 +25,8 @@
         services = {kind["name"]: kind["service"] for kind in deployment.site["classes"]}
         timeouts = {kind["name"]: kind["deadline_ms"] / 1000 for kind in deployment.site["classes"]}
         attempts = [attempt for attempt in deployment.caller.attempts if attempt.sent is not None]
-        requests = [Request(attempt.request_id, services[attempt.kind], attempt.begin, timeouts[attempt.kind])
+        requests = [Request(attempt.request_id, services[attempt.kind], attempt.begin, timeouts[attempt.kind],
+                            content=attempt.path)
                     for attempt in attempts]
         arrivals = self.arrivals({attempt.request_id: attempt.host.name for attempt in attempts})
         periods = [period for server in deployment.backends for period in server.cold_periods]
@@ -32,7 +35,7 @@
             Bounds({service["name"]: service["cold_per_s"] for service in deployment.site["services"]},
                    bounds["coldFactor"], bounds["coldSlack"], bounds["budgetRatio"], bounds["budgetExtra"],
                    seconds(bounds["budgetWindow"]), seconds(bounds["contact"])),
-            requests, arrivals, periods, self.is_excused, self.is_down)
+            requests, arrivals, periods, self.is_excused, self.is_down, self.crashes())
         return rules.findings()
 
     def arrivals(self, hosts):
@@ -49,6 +52,13 @@
                      f"host than the caller's, longest stall of the servers {self.deployment.ticks.longest:.3f} s")
         return arrivals
 
+    def crashes(self):
+        crashes = collections.defaultdict(list)
+        for server in self.deployment.backends:
+            for path, time in server.crashes:
+                crashes[path].append(time)
+        return crashes
+
     def is_excused(self, name, begin, end):
         faults = self.deployment.faults
         return any(host.name == name and first <= end and begin <= last
--- a/testsuite/deployment/fleet_rules.py
+++ b/testsuite/deployment/fleet_rules.py
@@ -127,10 +127,18 @@
                 senders = collections.Counter(arrival.sender for arrival in window)
                 worst.worst, worst.bound = len(window), bound
                 worst.text = (f"{period.server} of {period.service} from {begin - period.told:.2f} s after it was told, "
-                              f"{len(senders)} hosts, at most {max(senders.values())} from one")
+                              f"{len(senders)} hosts, at most {max(senders.values())} from one, in its tenths "
+                              f"{self.tenths(begin, window)}")
         worst.text += f"; {len(counts)} cold periods, worst second of each {sorted(counts, reverse=True)}"
         return worst
 
+    @staticmethod
+    def tenths(begin, arrivals):
+        counts = [0] * 10
+        for arrival in arrivals:
+            counts[int((arrival.arrived - begin) / COLD_WINDOW_S * 10)] += 1
+        return counts
+
     @staticmethod
     def worst_cold_window(arrivals, period):
         """Returns the begin of the second with most requests that were sent and arrived inside it, and these."""
--- a/testsuite/deployment/herd_faults.py
+++ b/testsuite/deployment/herd_faults.py
@@ -74,7 +74,7 @@
 
     async def make_server_cold(self, server, delay_s):
         await asyncio.sleep(delay_s)
-        await server.become_cold(self.store, self.options.silent_s)
+        await server.become_cold(self.options.silent_s)
 
     async def stall(self):
         stall_s = self.draw.uniform(*self.options.stall_s)
--- a/testsuite/deployment/observed_server.py
+++ b/testsuite/deployment/observed_server.py
@@ -17,6 +17,8 @@
 RESPONSE_BYTES = 600
 BACKLOG = 256
 SILENT_FILLERS = 4
+CRASH_PATH = "/crash"
+CRASH_DOWN_S = 2
 
 
 class Ticks:
@@ -103,10 +105,12 @@
     """`cold` holds the service's cold_s and cold_x of the site; `reject` the share of requests to reject and the seconds
     that Retry-After names then, if any."""
 
-    def __init__(self, case, ticks, owners, name, service, zone, slots, work_s, cold):
-        self.ticks, self.owners, self.cold = ticks, owners, cold
+    def __init__(self, case, store, ticks, owners, name, service, zone, slots, work_s, cold):
+        self.store, self.ticks, self.owners, self.cold = store, ticks, owners, cold
         self.connections, self.queue = set(), collections.deque()
         self.arrivals, self.cold_periods, self.down = [], [], []
+        # (path, time) of requests that the server crashed under.
+        self.crashes = []
         self.reject = (0, 0)
         self.cold_until = 0
         self.is_silent = False
@@ -154,6 +158,11 @@
         self.running += 1
         work.arrival.ran = True
         self.runs.append((self.record.now(), work.arrival.request_id))
+        path = work.first.split(" ")[1]
+        if path.endswith(CRASH_PATH):
+            self.crashes.append((path, time.monotonic()))
+            self.crash_task = asyncio.create_task(self.crash())
+            return
         now = time.monotonic()
         factor = self.cold["cold_x"] if now < self.cold_until else 1
         work_s = self.work_s * factor * max(0.1, random.gauss(1, 0.15))
@@ -180,36 +189,54 @@
         """Ends the work on a request whose connection closed."""
         if work.timer:
             work.timer.cancel()
+            work.timer = None
             self.running -= 1
             self.run_next()
         elif work in self.queue:
             self.queue.remove(work)
 
-    async def become_cold(self, store, silent_s=0):
+    async def become_cold(self, silent_s=0):
         """Registers the server as cold, after a time in which it answers no packets if `silent_s` is positive."""
         if silent_s:
             await self.fall_silent(asyncio.sleep(silent_s))
         self.cold_until = time.monotonic() + self.cold["cold_s"]
         period = ColdPeriod(self.name, self.service, self.cold_until, self.cold_until)
         while (left_s := self.cold_until - time.monotonic()) > 0:
-            await self.register(store, coldRemaining=f"{int(1000 * left_s)}ms")
+            await self.register(coldRemaining=f"{int(1000 * left_s)}ms")
             if period not in self.cold_periods:
                 period.told = time.monotonic()
                 self.cold_periods.append(period)
             await asyncio.sleep(min(HEARTBEAT_S, left_s))
-        await self.register(store)
+        await self.register()
 
-    async def register(self, store, **more):
-        while store.down:
+    async def register(self, **more):
+        while self.store.down:
             await asyncio.sleep(STORE_POLL_S)
-        await store.write([("servers", self.name, self.row(**more))], [])
+        await self.store.write([("servers", self.name, self.row(**more))], [])
 
-    async def fall_silent(self, end):
-        """Answers no packets until `end` has been awaited, and is a new incarnation then."""
+    async def crash(self):
         begin = time.monotonic()
+        address = self.listener.getsockname()
         self.server.close()
+        self.listener.close()
         for connection in list(self.connections):
             connection.transport.abort()
+        await asyncio.sleep(CRASH_DOWN_S)
+        self.running = 0
+        self.born = int(time.time() * 1000)
+        self.listener = socket.create_server(address, backlog=BACKLOG)
+        await self.listen()
+        self.down.append((begin, time.monotonic()))
+        await self.register()
+
+    async def fall_silent(self, end):
+        """Answers no packets until `end` has been awaited, and is a new incarnation then."""
+        begin = time.monotonic()
+        self.server.close()
+        for connection in self.connections:
+            connection.transport.pause_reading()
+            if connection.active:
+                self.drop(connection.active)
         # With a full queue of connections that nobody accepts, the kernel drops the opening packets.
         self.listener.listen(0)
         fillers = [socket.socket() for _ in range(SILENT_FILLERS)]
@@ -221,6 +248,8 @@
         self.is_silent = False
         for filler in fillers:
             filler.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
         self.born = int(time.time() * 1000)
         self.listener.listen(BACKLOG)
         await self.listen()
--- a/testsuite/deployment/observed_server_test.py
+++ b/testsuite/deployment/observed_server_test.py
@@ -36,7 +36,8 @@
         self.owners = SocketOwners(self.hosts)
         ticks = Ticks()
         self.case.loop.start(ticks.run())
-        self.server = ObservedServer(self.case, ticks, self.owners, "i-1", "s", "zone", 2, 0.01, COLD)
+        self.store = rig.Store(self.case.loop, record)
+        self.server = ObservedServer(self.case, self.store, ticks, self.owners, "i-1", "s", "zone", 2, 0.01, COLD)
 
     def tearDown(self):
         self.owners.close()
@@ -47,6 +48,7 @@
     async def close_server(self):
         self.server.server.close()
         self.server.listener.close()
+        self.store.server.close()
 
     def sender(self, request):
         ip, port = self.server.address.split(":")
@@ -108,21 +110,24 @@
         return asyncio.Event()
 
     def test_cold_period_begins_when_the_store_has_acknowledged_it(self):
-        store = rig.Store(self.case.loop, self.case.record)
-        store.down = True
-        future = self.case.loop.start(self.server.become_cold(store))
+        self.store.down = True
+        future = self.case.loop.start(self.server.become_cold())
         time.sleep(0.1)
         back = time.monotonic()
-        store.down = False
+        self.store.down = False
         end = time.monotonic() + TIMEOUT_S
         while not self.server.cold_periods and time.monotonic() < end:
             time.sleep(0.01)
         self.assertGreaterEqual(self.server.cold_periods[0].told, back)
         future.cancel()
-        self.case.loop.run(self.close(store.server))
 
-    async def close(self, server):
-        server.close()
+    def test_server_that_crashes_under_a_request_does_not_answer_it_and_comes_back(self):
+        self.assertEqual("", self.get(REQUEST.replace("/2f", "/crash")))
+        self.assertEqual(["/k0/crash"], [path for path, _ in self.server.crashes])
+        end = time.monotonic() + TIMEOUT_S
+        while not self.server.down and time.monotonic() < end:
+            time.sleep(0.01)
+        self.assertTrue(self.get().startswith("HTTP/1.1 200"))
 
 
 if __name__ == "__main__":
--- a/testsuite/deployment/start_deployment.py
+++ b/testsuite/deployment/start_deployment.py
@@ -24,7 +24,7 @@
 from caller import Caller
 from faults import Faults
 from fleet_judgement import FleetJudgement, site_bounds
-from observed_server import ObservedServer, Ticks
+from observed_server import CRASH_PATH, ObservedServer, Ticks
 from socket_owners import SocketOwners
 
 READY_TIMEOUT_S = 20
@@ -66,7 +66,7 @@
                 for _ in range(place["count"]):
                     name = f"i-{len(self.backends)}"
                     backend = ObservedServer(
-                        self.case, self.ticks, self.owners, name, service["name"], place["zone"], service["slots"],
+                        self.case, self.store, self.ticks, self.owners, name, service["name"], place["zone"], service["slots"],
                         work_ms[0] / 1000 * options.work_share, {key: service[key] for key in ("cold_s", "cold_x")})
                     self.backends.append(backend)
                     self.store.put("servers", name, backend.row())
@@ -174,6 +174,8 @@
             tasks.append(asyncio.create_task(self.faults.run(seconds)))
         if self.options.all_at_once:
             tasks.append(asyncio.create_task(self.faults.hit_all(self.options.all_at_once, seconds / 2)))
+        if self.options.crash_s:
+            tasks.append(asyncio.create_task(self.send_crashing(seconds)))
         tasks.append(asyncio.create_task(self.herd.run(seconds)))
         await asyncio.gather(*tasks)
         self.judge()
@@ -206,6 +208,15 @@
             requests.append(asyncio.create_task(self.request(kind)))
         await asyncio.gather(*requests)
 
+    async def send_crashing(self, seconds):
+        """Sends a request that crashes servers again and again, always the same."""
+        kind = next(kind for kind in self.site["classes"] if kind["method"] == "GET")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            path = self.routes[kind["name"]].rstrip("/") + CRASH_PATH
+            await self.caller.send(kind, self.random.choice(self.hosts), path, b"", key=0)
+            await asyncio.sleep(self.options.crash_s)
+
     async def request(self, kind):
         size = int(kind["req_bytes"]["mean"]) if kind["method"] != "GET" else 0
         attempt = await self.caller.send(
@@ -288,6 +299,7 @@
                         help="stops, kills, pauses and reloads of hosts and downtime of the store during the load")
     parser.add_argument("--all-at-once", choices=("terminate", "kill", "hang_up", "pause"),
                         help="fault of all hosts at once in the middle of the load")
+    parser.add_argument("--crash-s", type=float, help="interval of a request that crashes each server that runs it")
     herd_faults.add_options(parser)
     parser.add_argument("--work-share", type=float, default=1 / 3,
                         help="share of the site's work that each request takes; warm servers take about a third")
