Failing test: limits of servers after a common pause of many hosts

After a common pause every host has saved a token, so that the hosts together send as many requests at once as there are hosts.

--- a/src/libheathersteer/rate_limit_fleet_test.cc
+++ b/src/libheathersteer/rate_limit_fleet_test.cc
@@ -110,6 +110,21 @@
     }
   }
 
+  // Passes time without requests, as when callers or all hosts pause, then
+  // gives every host the same number of requests at once.
+  void PauseThenSendAtAllHosts(Duration pause, int requests_a_host) {
+    const Instant end = now_ + pause;
+    while (case_.sharing && next_report_ <= end) {
+      ShareReports();
+    }
+    now_ = end;
+    for (const auto& host : hosts_) {
+      for (int i = 0; i < requests_a_host; ++i) {
+        Request(*host, "key" + std::to_string(i));
+      }
+    }
+  }
+
   // Number of requests that were sent to the limited server once the limit
   // bound.
   int sends() const { return static_cast<int>(sends_.size()); }
@@ -245,6 +260,32 @@
   }
 }
 
+// Each host may have saved a token meanwhile.
+TEST(RateLimitFleetTest, LimitIsKeptWhenAllHostsGoOnAfterACommonPause) {
+  const FleetCase fleet_case = {
+      .hosts = 22, .limit = 8.5, .demand = 2, .sharing = true};
+  Fleet fleet(fleet_case);
+  fleet.Run(kDuration / 2);
+  fleet.PauseThenSendAtAllHosts(seconds(5), 20);
+  fleet.Run(kDuration / 2);
+  const double window_s = std::chrono::duration<double>(kWindow).count();
+  EXPECT_LE(fleet.MaxInWindow(),
+            kAllowedExcess * window_s * fleet_case.limit + kAllowedExtra);
+}
+
+// The same, with more hosts than the limit allows requests in a window.
+TEST(RateLimitFleetTest, LimitIsKeptWhenManyHostsGoOnAfterACommonPause) {
+  const FleetCase fleet_case = {
+      .hosts = 120, .limit = 8.5, .demand = 2, .sharing = true};
+  Fleet fleet(fleet_case);
+  fleet.Run(kDuration / 2);
+  fleet.PauseThenSendAtAllHosts(seconds(5), 20);
+  fleet.Run(kDuration / 2);
+  const double window_s = std::chrono::duration<double>(kWindow).count();
+  EXPECT_LE(fleet.MaxInWindow(),
+            kAllowedExcess * window_s * fleet_case.limit + kAllowedExtra);
+}
+
 // With equal parts the limit is used in proportion to the hosts with demand.
 TEST(RateLimitFleetTest, HostsWithDemandUseThePartsOfTheOthers) {
   constexpr Duration kLongDuration = seconds(60);
