Servers that ask for a backoff get no requests from this host

A backend server that turns a request away with 503 may add Retry-After: it wants no requests from this host for so long. No source read that field, so the server got the host's other requests. Each was turned away, sent to another server at the cost of a retry, and answered 503 once the service's retries were used up.

Change: the end of the backoff is part of a server's state, kept for its incarnation (ServerBackoffs), so that an entry that lapses and returns doesn't end it. Placement treats such a server like one at its rate limit, so queued, retried and detoured requests keep to it too. If all usable servers want none for longer than a request may be queued, it is rejected at once, also out of the queue; its caller retries within as long again after the first server may be asked, or after the usual delay if only another host can serve it in time. While no server of the region may be asked, requests leave it without the shift limiter. The value is parsed in one place; dates, negative numbers and other text are logged and ignored, and a backoff is kept to for an hour at most. 429 and 421 with the field change nothing.

Ruled out as a way for late requests: connections that are being opened, as the connect timeout is 0.3 s.

--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -124,6 +124,9 @@
   /// Number of backend servers whose rate limit is in force.
   std::size_t limited_servers() const;
 
+  /// Number of backend servers that want no requests from this host for now.
+  std::size_t backed_off_servers() const;
+
   const GatewayCounters& counters() const { return counters_; }
 
   /// Times from the arrival of a request to its delivered response, by rank.
@@ -149,7 +152,10 @@
   void Reject(const std::shared_ptr<HttpExchange>& exchange,
               HttpResponse response,
               const char* reason);
-  HttpResponse Rejection(heatherlever::Duration time_left);
+  // `available_in` is the time until servers may be sent requests again, 0 if
+  // it isn't known.
+  HttpResponse Rejection(heatherlever::Duration time_left,
+                         heatherlever::Duration available_in = {});
   HttpResponse RejectionFor(heatherlever::Duration retry_after);
   heathersteer::OverloadThrottle& Throttle(const std::string& route);
   heathersteer::RetryBudget& Budget(const std::string& service);
--- a/src/include/heathergate/gateway_counters.h
+++ b/src/include/heathergate/gateway_counters.h
@@ -20,6 +20,8 @@
   std::uint64_t retries = 0;
   /// Responses of servers which state that the request has not run.
   std::uint64_t server_refusals = 0;
+  /// Responses of servers which ask this host for a backoff.
+  std::uint64_t server_backoffs = 0;
   std::uint64_t broken_sends = 0;
   /// Requests rejected because too many requests of the route missed their
   /// deadlines.
--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -50,9 +50,13 @@
   /// Whether the request would be shifted by free capacity alone, without the
   /// shift limiter.
   bool would_shift = false;
-  /// Time until the first server may get a request if the rate limits of all
-  /// usable servers are used up; otherwise 0.
+  /// Time until the first server may get a request if all usable servers have
+  /// used up their rate limits or want none from this host; otherwise 0.
   heatherlever::Duration limited_for{0};
+  /// Time until the first server may get a request if all usable servers, those
+  /// that the request was already sent to included, want none from this host;
+  /// otherwise 0.
+  heatherlever::Duration backoff_left{0};
   /// Whether too many servers of the local region are suspended, cold or
   /// evacuated.
   bool region_impaired = false;
@@ -124,6 +128,12 @@
                                           const PlacementRequest& request,
                                           ServerGroup group,
                                           heatherlever::Instant now) const;
+  // Time until the first of the candidates may get a request again, or of all
+  // eligible servers if there are no candidates.
+  heatherlever::Duration BackoffLeft(const std::vector<Candidate>& ranked,
+                                     const ServerTable& table,
+                                     const PlacementRequest& request,
+                                     heatherlever::Instant now) const;
   // Whether a server belongs to a group and may get requests in it.
   bool MayServe(const ServerState& state,
                 ServerGroup group,
--- a/src/include/heathersteer/server_state.h
+++ b/src/include/heathersteer/server_state.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSTEER_SERVER_STATE_H_
 #define HEATHERSTEER_SERVER_STATE_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "heatherlever/instant.h"
@@ -22,6 +23,8 @@
   ServerRateLimit rate_limit;
   /// Time at which the server first stated that it is leaving, if it has.
   std::optional<heatherlever::Instant> leaving_since;
+  /// Time until which the server wants no requests from this host.
+  heatherlever::Instant backoff_until{0};
   /// Whether the server is still on the platform's list.
   bool listed = true;
 
@@ -29,6 +32,11 @@
   bool cold(heatherlever::Instant now) const {
     return now < server.cold_until || health.on_probation(now);
   }
+
+  /// Time for which the server still wants no requests from this host.
+  heatherlever::Duration BackoffLeft(heatherlever::Instant now) const {
+    return std::max(heatherlever::Duration(0), backoff_until - now);
+  }
 };
 
 }  // namespace heathersteer
--- a/src/include/heathersteer/server_table.h
+++ b/src/include/heathersteer/server_table.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSTEER_SERVER_TABLE_H_
 #define HEATHERSTEER_SERVER_TABLE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -12,6 +13,7 @@
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
 #include "heathersteer/leaving_servers.h"
+#include "heathersteer/server_backoffs.h"
 #include "heathersteer/server_state.h"
 
 namespace heathersteer {
@@ -37,6 +39,17 @@
   /// Number of listed servers that have stated that they are leaving.
   std::size_t leaving_count() const;
 
+  /// Records that an incarnation of a server wants no requests from this host
+  /// for `delay`, whether it is listed or not. Returns whether it is listed and
+  /// its backoff begins.
+  bool RecordBackoff(const std::string& id,
+                     std::int64_t started_ms,
+                     std::chrono::duration<double> delay,
+                     heatherlever::Instant now);
+
+  /// Number of listed servers that want no requests from this host.
+  std::size_t backed_off_count(heatherlever::Instant now) const;
+
   /// Removes every server whose id is not in `ids`; returns the removed ones.
   std::vector<std::string> KeepOnly(const std::set<std::string>& ids);
 
@@ -63,6 +76,7 @@
   std::map<std::string, Servers> by_service_;
   std::set<std::string> evacuated_;
   LeavingServers leaving_;
+  ServerBackoffs backoffs_;
   Servers no_servers_;
 };
 
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -19,6 +19,7 @@
 #include "libheathergate/load_report.h"
 #include "libheathergate/rate_limit_field.h"
 #include "libheathergate/request_fingerprint.h"
+#include "libheathergate/retry_after_field.h"
 #include "libheathergate/time_left.h"
 
 namespace heathergate {
@@ -122,7 +123,7 @@
     Detour();
     return;
   }
-  if (TryPlace() || ended_) {
+  if (TryPlace() || ended_ || EndBackedOff()) {
     return;
   }
   if (last_choice_.limited_for > heathersteer::MaxQueueTime(route_)) {
@@ -132,6 +133,21 @@
   Enqueue();
 }
 
+void ForwardedRequest::TryPlaceQueued() {
+  if (!TryPlace() && !ended_) {
+    EndBackedOff();
+  }
+}
+
+bool ForwardedRequest::EndBackedOff() {
+  const Duration backoff = last_choice_.backoff_left;
+  if (backoff <= heathersteer::MaxQueueTime(route_)) {
+    return false;
+  }
+  EndUnplaced("servers want no requests", backoff);
+  return true;
+}
+
 void ForwardedRequest::Enqueue() {
   if (!gateway_.accepting_) {
     EndForStop();
@@ -240,11 +256,11 @@
   DeliverResponse(std::move(response), result.head.status);
 }
 
-void ForwardedRequest::EndUnplaced(const char* reason) {
+void ForwardedRequest::EndUnplaced(const char* reason, Duration available_in) {
   if (policy_.WithoutRetry() == NextStep::kFail) {
     Fail(kStatusBadGateway, "no room for a repeat");
   } else {
-    Reject(reason);
+    Reject(reason, available_in);
   }
 }
 
@@ -506,6 +522,7 @@
   if (outcome != AttemptOutcome::kBroken) {
     ObserveRateLimit(result, now);
     ObserveLeaving(result, now);
+    ObserveBackoff(result, now);
   }
   if (outcome != AttemptOutcome::kNotExecuted) {
     RecordCompletion();
@@ -563,6 +580,35 @@
   }
 }
 
+// 429 is a limit of the caller whose request it is, so other callers' requests
+// still go to the server.
+void ForwardedRequest::ObserveBackoff(const CallResult& result, Instant now) {
+  const std::string* text = result.head.Find(kRetryAfter);
+  if (text == nullptr || result.head.status != kStatusUnavailable) {
+    return;
+  }
+  const heathersteer::BackendServer& server = server_->server;
+  const auto delay = ParseRetryAfter(*text);
+  if (!delay) {
+    spdlog::warn(
+        "request id={} {}=\"{}\" of {} ignored: not seconds in decimals", id_,
+        kRetryAfter, *text, server.id);
+    return;
+  }
+  if (delay->count() == 0) {
+    return;
+  }
+  ++gateway_.counters_.server_backoffs;
+  if (gateway_.servers_.RecordBackoff(server.id, server.started_ms, *delay,
+                                      now)) {
+    spdlog::info(
+        "backend server {} wants no requests from this host for {} s{}",
+        server.id, delay->count(),
+        *delay > heathersteer::ServerBackoffs::kMaxDelay ? ", kept for 1 h"
+                                                         : "");
+  }
+}
+
 void ForwardedRequest::ObserveLeavingElsewhere(const HttpHead& head) {
   const std::string& name = gateway_.options_.names.leaving_server;
   const std::string* text = head.Find(name);
@@ -680,8 +726,9 @@
   Finish(std::move(response), "answered");
 }
 
-void ForwardedRequest::Reject(const char* reason) {
-  Finish(gateway_.Rejection(caller_deadline_ - EventLoop::Now()), reason);
+void ForwardedRequest::Reject(const char* reason, Duration available_in) {
+  Finish(gateway_.Rejection(caller_deadline_ - EventLoop::Now(), available_in),
+         reason);
 }
 
 void ForwardedRequest::Fail(int status, const char* reason) {
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -46,6 +46,10 @@
   /// is none.
   bool TryPlace();
 
+  /// As TryPlace(), for a queued request. Ends it if all servers want none for
+  /// longer than it may be queued.
+  void TryPlaceQueued();
+
   /// Ends the request if it waits for a server.
   void EndIfWaiting();
 
@@ -62,14 +66,21 @@
   void SendDetour(const heathersteer::HostRegistration& host);
   void OnDetourDone(const std::string& host, CallResult result);
   void DeliverDetour(CallResult result);
-  // Ends the request, for which no server was found.
-  void EndUnplaced(const char* reason);
+  // Ends the request, for which no server was found. `available_in` is the time
+  // until servers may be sent requests again, 0 if it isn't known.
+  void EndUnplaced(const char* reason,
+                   heatherlever::Duration available_in = {});
+  // Ends the request if all servers want none for longer than it may be queued.
+  // Returns whether it was ended.
+  bool EndBackedOff();
   void Send(std::shared_ptr<heathersteer::ServerState> server);
   std::string MakeHead(const HeaderField& target) const;
   void OnCallDone(CallResult result);
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
   void ObserveLeaving(const CallResult& result, heatherlever::Instant now);
+  // Heeds a server that turns requests away and wants none for a time.
+  void ObserveBackoff(const CallResult& result, heatherlever::Instant now);
   // Takes over what another host returned about the server that responded.
   void ObserveLeavingElsewhere(const HttpHead& head);
   std::uint64_t Fingerprint();
@@ -92,7 +103,7 @@
   void Deliver(CallResult result);
   // `server_status` is the one that the server has given.
   void DeliverResponse(HttpResponse response, int server_status);
-  void Reject(const char* reason);
+  void Reject(const char* reason, heatherlever::Duration available_in = {});
   // Passes on the failure of a server if there is one, else `status`.
   void Fail(int status, const char* reason);
   void OnDeadline();
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -17,6 +17,7 @@
 #include "libheathergate/connection_trial.h"
 #include "libheathergate/detour_field.h"
 #include "libheathergate/forwarded_request.h"
+#include "libheathergate/retry_after_field.h"
 #include "libheathergate/startup_queue.h"
 #include "libheathergate/time_left.h"
 
@@ -304,14 +305,15 @@
   exchange->Respond(std::move(response));
 }
 
-HttpResponse Gateway::Rejection(Duration time_left) {
-  return RejectionFor(heathersteer::RetryAfter(time_left, Random()));
+HttpResponse Gateway::Rejection(Duration time_left, Duration available_in) {
+  return RejectionFor(
+      heathersteer::RetryAfter(time_left, Random(), available_in));
 }
 
 HttpResponse Gateway::RejectionFor(Duration retry_after) {
   HttpResponse response = HttpResponse::Of(kStatusUnavailable);
   response.fields.push_back(
-      {"Retry-After",
+      {kRetryAfter,
        fmt::format("{:.3f}",
                    std::chrono::duration<double>(retry_after).count())});
   ++counters_.rejected;
@@ -368,6 +370,10 @@
       [](const auto& entry) { return entry.second->rate_limit.limit() > 0; }));
 }
 
+std::size_t Gateway::backed_off_servers() const {
+  return servers_.backed_off_count(EventLoop::Now());
+}
+
 heathersteer::OverloadThrottle& Gateway::Throttle(const std::string& route) {
   return throttles_[route];
 }
@@ -411,7 +417,7 @@
        queue_.Next(service, kMaxTriedPerFreeSlot)) {
     const auto found = queued_.find(ticket);
     if (found != queued_.end()) {
-      found->second->TryPlace();
+      found->second->TryPlaceQueued();
     }
   }
 }
--- a/src/libheathergate/metrics_text.cc
+++ b/src/libheathergate/metrics_text.cc
@@ -14,7 +14,7 @@
   std::uint64_t GatewayCounters::*value;
 };
 
-constexpr std::array<Counter, 15> kCounters = {{
+constexpr std::array<Counter, 16> kCounters = {{
     {"heather_requests_total", &GatewayCounters::requests},
     {"heather_delivered_total", &GatewayCounters::delivered},
     {"heather_rejected_total", &GatewayCounters::rejected},
@@ -24,6 +24,7 @@
     {"heather_sends_total", &GatewayCounters::sends},
     {"heather_repeats_total", &GatewayCounters::retries},
     {"heather_server_refusals_total", &GatewayCounters::server_refusals},
+    {"heather_server_backoffs_total", &GatewayCounters::server_backoffs},
     {"heather_broken_sends_total", &GatewayCounters::broken_sends},
     {"heather_throttled_total", &GatewayCounters::throttled},
     {"heather_quarantined_total", &GatewayCounters::quarantined},
@@ -67,6 +68,8 @@
   text << "# TYPE heather_leaving_servers gauge\n";
   text << "heather_leaving_servers " << gateway.servers().leaving_count()
        << "\n";
+  text << "# TYPE heather_backed_off_servers gauge\n";
+  text << "heather_backed_off_servers " << gateway.backed_off_servers() << "\n";
   text << "# TYPE heather_quarantined_requests gauge\n";
   text << "heather_quarantined_requests " << gateway.quarantined() << "\n";
   text << "# TYPE heather_configuration_version gauge\n";
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -121,13 +121,40 @@
   return ranked;
 }
 
+Duration Placement::BackoffLeft(const std::vector<Candidate>& ranked,
+                                const ServerTable& table,
+                                const PlacementRequest& request,
+                                Instant now) const {
+  Duration shortest = Duration::max();
+  for (const Candidate& candidate : ranked) {
+    shortest = std::min(shortest, candidate.server->BackoffLeft(now));
+  }
+  if (ranked.empty()) {
+    PlacementRequest untried = request;
+    untried.tried = nullptr;
+    for (const auto& state : table.OfService(request.service->name)) {
+      if ((MayServe(*state, ServerGroup::kStaying, now) ||
+           MayServe(*state, ServerGroup::kLeaving, now)) &&
+          IsEligible(table, untried, *state, now)) {
+        shortest = std::min(shortest, state->BackoffLeft(now));
+      }
+    }
+  }
+  return shortest == Duration::max() ? Duration(0) : shortest;
+}
+
 PlacementChoice Placement::Choose(const ServerTable& table,
                                   const PlacementRequest& request,
                                   Instant now) const {
+  const auto is_backed_off = [&](const Candidate& candidate) {
+    return candidate.server->BackoffLeft(now) > Duration(0);
+  };
   std::vector<Candidate> ranked =
       SortedCandidates(table, request, ServerGroup::kStaying, now);
-  if (ranked.empty()) {
-    ranked = SortedCandidates(table, request, ServerGroup::kLeaving, now);
+  if (std::all_of(ranked.begin(), ranked.end(), is_backed_off)) {
+    const auto leaving =
+        SortedCandidates(table, request, ServerGroup::kLeaving, now);
+    ranked.insert(ranked.end(), leaving.begin(), leaving.end());
   }
   if (request.counts_as_demand) {
     CountDemand(ranked, now);
@@ -138,10 +165,14 @@
     choice.preferred = ranked.front().server;
   }
   choice.region_impaired = RegionImpaired(table, *request.service, now);
+  choice.backoff_left = BackoffLeft(ranked, table, request, now);
   const auto is_local = [&](const Candidate& candidate) {
     return candidate.server->server.region == options_.region;
   };
-  const bool local_usable = std::any_of(ranked.begin(), ranked.end(), is_local);
+  const bool local_usable = std::any_of(
+      ranked.begin(), ranked.end(), [&](const Candidate& candidate) {
+        return is_local(candidate) && !is_backed_off(candidate);
+      });
   const bool may_shift = !std::all_of(ranked.begin(), ranked.end(), is_local);
   const int local_choices =
       may_shift ? options_.local_choices : options_.local_only_choices;
@@ -197,8 +228,9 @@
 }
 
 Duration Placement::TimeToSend(ServerState& state, Instant now) const {
-  return state.rate_limit.TimeToSend(now, options_.host_count,
-                                     UnitHash(options_.host, state.server.id));
+  const Duration limited_for = state.rate_limit.TimeToSend(
+      now, options_.host_count, UnitHash(options_.host, state.server.id));
+  return std::max(limited_for, state.BackoffLeft(now));
 }
 
 // The first candidate with a free slot goes before any other; among full ones
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -8,6 +8,7 @@
 
 #include "heathersteer/route.h"
 #include "heathersteer/service.h"
+#include "heathersteer/shift_limiter.h"
 
 namespace heathersteer {
 namespace {
@@ -276,5 +277,77 @@
   EXPECT_EQ(free.limited_for, milliseconds(0));
 }
 
+// Servers that wanted no requests for a time got them all the same.
+TEST_F(PlacementTest, ServerGetsNoRequestsUntilTheEndOfItsBackoff) {
+  const Placement placement(Options("north"));
+  const auto first = Choose(placement, "7");
+  first->backoff_until = kNow + seconds(2);
+  EXPECT_NE(Choose(placement, "7"), first);
+  EXPECT_NE(Choose(placement, "7", kNow + milliseconds(1999)), first);
+  EXPECT_EQ(Choose(placement, "7", kNow + seconds(2)), first);
+}
+
+TEST_F(PlacementTest, TellsHowLongAllServersWantNoRequests) {
+  const Placement placement(Options("north"));
+  for (const auto& server : table_.OfService("proofs")) {
+    server->backoff_until = kNow + seconds(60);
+  }
+  table_.Find("south1")->backoff_until = kNow + seconds(3);
+  const auto none = placement.Choose(table_, Request("7"), kNow);
+  EXPECT_EQ(none.server, nullptr);
+  EXPECT_EQ(none.backoff_left, seconds(3));
+  EXPECT_GE(none.limited_for, seconds(3));
+  // A server that is only full may have a free slot at any moment.
+  table_.Find("north3")->backoff_until = kNow;
+  Fill("north3");
+  const auto full = placement.Choose(table_, Request("7"), kNow);
+  EXPECT_EQ(full.server, nullptr);
+  EXPECT_EQ(full.backoff_left, seconds(0));
+  EXPECT_EQ(full.limited_for, seconds(0));
+}
+
+TEST_F(PlacementTest, ServersThatTurnedTheRequestAwayCountForTheBackoff) {
+  const Placement placement(Options("north"));
+  for (const auto& server : table_.OfService("proofs")) {
+    server->backoff_until = kNow + seconds(2);
+    tried_.push_back(server->server.id);
+  }
+  EXPECT_EQ(placement.Choose(table_, Request("7"), kNow).backoff_left,
+            seconds(2));
+  table_.Find("north3")->backoff_until = kNow;
+  EXPECT_EQ(placement.Choose(table_, Request("7"), kNow).backoff_left,
+            seconds(0));
+}
+
+// A region without a server for now must not hold back what others can serve.
+TEST_F(PlacementTest, RequestsLeaveARegionWhoseServersAllWantNone) {
+  const Placement placement(Options("north"));
+  ShiftLimiter limiter(0.01);
+  limiter.Observe(false, kNow - seconds(10));
+  while (limiter.MayShift(kNow)) {
+    limiter.Sent(true, kNow);
+  }
+  PlacementRequest request = Request("7");
+  request.shift_limiter = &limiter;
+  for (int i = 0; i < kServersPerRegion; ++i) {
+    table_.Find("north" + std::to_string(i))->backoff_until = kNow + seconds(2);
+  }
+  const auto choice = placement.Choose(table_, request, kNow);
+  ASSERT_NE(choice.server, nullptr);
+  EXPECT_EQ(choice.server->server.region, "south");
+}
+
+TEST_F(PlacementTest, LeavingServersServeWhileAllOthersWantNone) {
+  const Placement placement(Options("north"));
+  for (const auto& server : table_.OfService("proofs")) {
+    server->backoff_until = kNow + seconds(60);
+  }
+  table_.Find("north3")->backoff_until = Instant(0);
+  table_.Find("north3")->leaving_since = kNow;
+  const auto choice = placement.Choose(table_, Request("7"), kNow);
+  ASSERT_NE(choice.server, nullptr);
+  EXPECT_EQ(choice.server->server.id, "north3");
+}
+
 }  // namespace
 }  // namespace heathersteer
--- a/src/libheathersteer/rejection.cc
+++ b/src/libheathersteer/rejection.cc
@@ -25,12 +25,18 @@
   return route.target_latency / kQueueTimeDivisor;
 }
 
-Duration RetryAfter(Duration time_left, double random) {
-  const Duration max_delay =
-      std::max(kMinRetryDelay, time_left / kTimeLeftDivisor);
+Duration RetryAfter(Duration time_left, double random, Duration available_in) {
+  Duration min_delay = kMinRetryDelay;
+  Duration max_delay = std::max(min_delay, time_left / kTimeLeftDivisor);
+  // Spread over as long again, callers return no faster than they were
+  // rejected. Those that can't wait so long may still be served by other hosts.
+  if (available_in > min_delay && available_in <= max_delay / 2) {
+    min_delay = available_in;
+    max_delay = 2 * available_in;
+  }
   const auto spread =
-      static_cast<double>((max_delay - kMinRetryDelay).count()) * random;
-  return kMinRetryDelay + Duration(static_cast<std::int64_t>(spread));
+      static_cast<double>((max_delay - min_delay).count()) * random;
+  return min_delay + Duration(static_cast<std::int64_t>(spread));
 }
 
 }  // namespace heathersteer
--- a/src/libheathersteer/server_table.cc
+++ b/src/libheathersteer/server_table.cc
@@ -6,6 +6,9 @@
 namespace heathersteer {
 namespace {
 
+using heatherlever::Duration;
+using heatherlever::Instant;
+
 // Whether both are the same process at the same address.
 bool SameIncarnation(const BackendServer& a, const BackendServer& b) {
   return a.started_ms == b.started_ms && a.address == b.address &&
@@ -27,6 +30,7 @@
   state->server = server;
   // An older list may bring a server back after it was removed.
   state->leaving_since = leaving_.Since(server.id, server.started_ms);
+  state->backoff_until = backoffs_.Until(server.id, server.started_ms);
   by_service_[server.service].push_back(state);
 }
 
@@ -59,6 +63,27 @@
       }));
 }
 
+bool ServerTable::RecordBackoff(const std::string& id,
+                                std::int64_t started_ms,
+                                std::chrono::duration<double> delay,
+                                Instant now) {
+  const Instant until = backoffs_.Record(id, started_ms, delay, now);
+  const auto state = Find(id);
+  if (state == nullptr || state->server.started_ms != started_ms) {
+    return false;
+  }
+  const bool begins = state->backoff_until <= now && until > now;
+  state->backoff_until = std::max(state->backoff_until, until);
+  return begins;
+}
+
+std::size_t ServerTable::backed_off_count(Instant now) const {
+  return static_cast<std::size_t>(
+      std::count_if(by_id_.begin(), by_id_.end(), [&](const auto& entry) {
+        return entry.second->BackoffLeft(now) > Duration(0);
+      }));
+}
+
 std::vector<std::string> ServerTable::KeepOnly(
     const std::set<std::string>& ids) {
   std::vector<std::string> removed;
--- a/src/libheathersteer/server_table_test.cc
+++ b/src/libheathersteer/server_table_test.cc
@@ -8,6 +8,7 @@
 namespace heathersteer {
 namespace {
 
+using heatherlever::Instant;
 using std::chrono::seconds;
 
 BackendServer MakeServer(std::int64_t started_ms) {
@@ -23,6 +24,7 @@
 class ServerTableTest : public testing::Test {
  protected:
   auto LeavingSince() const { return table_.Find("i-1")->leaving_since; }
+  auto BackoffUntil() const { return table_.Find("i-1")->backoff_until; }
 
   ServerTable table_;
 };
@@ -78,5 +80,36 @@
   EXPECT_FALSE(LeavingSince());
 }
 
+TEST_F(ServerTableTest, BackoffOutlastsAListingAndEndsWithTheIncarnation) {
+  const std::chrono::duration<double> delay = seconds(2);
+  table_.Put(MakeServer(7));
+  EXPECT_TRUE(table_.RecordBackoff("i-1", 7, delay, seconds(10)));
+  EXPECT_FALSE(table_.RecordBackoff("i-1", 7, delay, seconds(11)));
+  EXPECT_EQ(BackoffUntil(), Instant(seconds(13)));
+  EXPECT_EQ(table_.backed_off_count(seconds(12)), 1U);
+  EXPECT_EQ(table_.backed_off_count(seconds(13)), 0U);
+  table_.Put(MakeServer(7));
+  EXPECT_EQ(BackoffUntil(), Instant(seconds(13)));
+  table_.KeepOnly({});
+  table_.Put(MakeServer(7));
+  EXPECT_EQ(BackoffUntil(), Instant(seconds(13)));
+  table_.Put(MakeServer(8));
+  EXPECT_EQ(BackoffUntil(), Instant(0));
+  // A late response to the incarnation before.
+  EXPECT_FALSE(table_.RecordBackoff("i-1", 7, delay, seconds(14)));
+  EXPECT_EQ(BackoffUntil(), Instant(0));
+  EXPECT_TRUE(table_.RecordBackoff("i-1", 8, delay, seconds(14)));
+}
+
+TEST_F(ServerTableTest, BackoffOfAnUnknownIncarnationEndsWithItsListing) {
+  table_.Put(MakeServer(0));
+  EXPECT_TRUE(table_.RecordBackoff("i-1", 0, std::chrono::duration<double>(2),
+                                   seconds(10)));
+  EXPECT_EQ(BackoffUntil(), Instant(seconds(12)));
+  table_.KeepOnly({});
+  table_.Put(MakeServer(0));
+  EXPECT_EQ(BackoffUntil(), Instant(0));
+}
+
 }  // namespace
 }  // namespace heathersteer
