Cold servers get whole parts of their rate, so no second holds more

Cause: SharedRateLimiter gave each host an interval of hosts / rate. That bounds the mean of each host, not the sum of a second: after a common stop all hosts are due at the same moment, one request for each. And a host that had just started counted itself as the only one, or knew 11, 18 or 20 of 22, and took the rate divided by these.

Change: of the rate, rounded down, each host gets whole requests/s, and the hosts that rank first for the server by weighted rendezvous hashing get the remainder (ColdRateShares). A host with the part p sends at least 1 s / p apart with no credit for idle time (ColdRateLimiter), so the sum is at most the rate in any second, whatever the hosts' clocks and stops. A host has no part until the list of hosts is settled: unchanged for 2 s, or the first read if the settings say that the system ran before (`bootstrap` false), as registrations outlive hosts; and for 1 s after, as the process before it may have sent its part. Followers, which get the number of hosts only, read the registrations again if that is not their own number, spread over 40 ms a host and at most once in 12 s. No message between hosts changes.

Requests for which all usable servers are cold, and not due within the queue time, are rejected at once (PlacementChoice::limited_for covers cold servers); they were tried again every 10 ms before. Probation uses the same parts: hosts see a server fail at the same moment, so a pace of its own for each host would have the same fault.

SharedRateLimiterTest goes with its class: ColdRateLimiterTest.ShorterIntervalAppliesAtOnce asks the same of the new one, to the millisecond, and NoSecondHoldsMoreThanTheShareAfterAnIdleTime asks for every second, at 300 shares and without the phase, what EventsAreAnIntervalApart asked for one interval.

PlacementTest.HostsTogetherKeepToTheRateOfAColdServer sets the list of hosts in place of their number; its bound and minimum are unchanged. The gateway harness states `bootstrap` false, as all starts but a system's first do; tests of the first start state true.

--- a/src/heather-simulate/simulated_host.cc
+++ b/src/heather-simulate/simulated_host.cc
@@ -12,6 +12,7 @@
 using heatherlever::Duration;
 using heatherlever::Instant;
 using heathersteer::AttemptOutcome;
+using heathersteer::HostLocation;
 using heathersteer::NextStep;
 
 // Maximum number of queued requests that are tried when a slot becomes free.
@@ -66,6 +67,8 @@
   std::uint64_t ticket = 0;
   // Number of sends; responses to earlier sends are ignored.
   int send_count = 0;
+  // Time for which all usable servers were limited at the last try.
+  Duration limited_for{0};
   // Whether the shift limiter has observed the request's preferred placement.
   bool shift_observed = false;
   bool ended = false;
@@ -118,6 +121,10 @@
   if (TryPlace(request)) {
     return;
   }
+  if (request->limited_for > heathersteer::MaxQueueTime(request->route)) {
+    Reject(request);
+    return;
+  }
   const std::uint64_t ticket =
       queue_.Add(request->attempt.kind->service, request->route.rank);
   request->ticket = ticket;
@@ -147,6 +154,7 @@
   }
   const auto& server = choice.server;
   if (server == nullptr) {
+    request->limited_for = choice.limited_for;
     return false;
   }
   shift_limiter_.Sent(server->server.region != location_.region, events_.now());
@@ -292,6 +300,10 @@
   }
 }
 
+void SimulatedHost::SetHosts(std::vector<HostLocation> hosts) {
+  placement_.cold_shares().SetHosts(std::move(hosts), events_.now());
+}
+
 void SimulatedHost::SetServers(
     const std::vector<heathersteer::BackendServer>& servers) {
   std::set<std::string> ids;
@@ -308,6 +320,7 @@
     Finish(request, CallerAttemptOutcome::kFailed, Duration(0));
   }
   servers_ = {};
+  placement_.cold_shares().SetHosts({}, events_.now());
   shift_limiter_ = {};
   budgets_.clear();
   throttles_.clear();
--- a/src/heather-simulate/simulated_host.h
+++ b/src/heather-simulate/simulated_host.h
@@ -12,6 +12,7 @@
 #include "heather-simulate/server_chooser.h"
 #include "heather-simulate/simulated_server.h"
 #include "heathersteer/attempt_policy.h"
+#include "heathersteer/host_location.h"
 #include "heathersteer/overload_throttle.h"
 #include "heathersteer/placement.h"
 #include "heathersteer/retry_budget.h"
@@ -44,20 +45,13 @@
 /// Finds a server by its id.
 using ServerLookup = std::function<SimulatedServer*(const std::string& id)>;
 
-/// Name and location of a host.
-struct HostLocation {
-  std::string name;
-  std::string region;
-  std::string domain;
-};
-
 /// An entry host in virtual time. It connects simulated callers and servers and
 /// uses the production code for placement, queueing, retries and rejections.
 class SimulatedHost {
  public:
   SimulatedHost(EventQueue& events,
                 const LoadPattern& pattern,
-                HostLocation location,
+                heathersteer::HostLocation location,
                 int host_count,
                 ChooserKind chooser,
                 std::uint64_t seed,
@@ -72,7 +66,10 @@
   /// all state.
   void Restart();
 
-  const HostLocation& location() const { return location_; }
+  /// Sets all hosts, which share the rates of cold servers.
+  void SetHosts(std::vector<heathersteer::HostLocation> hosts);
+
+  const heathersteer::HostLocation& location() const { return location_; }
 
   /// Times of the sends beyond the first of each attempt, by service.
   const std::map<std::string, std::vector<heatherlever::Instant>>& retries()
@@ -103,7 +100,7 @@
 
   EventQueue& events_;
   const LoadPattern& pattern_;
-  HostLocation location_;
+  heathersteer::HostLocation location_;
   std::mt19937_64 random_;
   ServerLookup lookup_;
   heathersteer::Placement placement_;
--- a/src/heather-simulate/simulation.cc
+++ b/src/heather-simulate/simulation.cc
@@ -112,12 +112,25 @@
         for (int i = 0; i < region.hosts_per_domain; ++i) {
           const std::string name = "host-" + std::to_string(hosts_.size());
           hosts_.push_back(std::make_unique<SimulatedHost>(
-              events_, pattern_, HostLocation{name, region.name, domain}, count,
+              events_, pattern_,
+              heathersteer::HostLocation{name, region.name, domain}, count,
               chooser, random_(),
               [this](const std::string& id) { return servers_.at(id).get(); }));
         }
       }
     }
+    InformHosts();
+  }
+
+  // Informs each host of all hosts.
+  void InformHosts() {
+    std::vector<heathersteer::HostLocation> locations;
+    for (const auto& host : hosts_) {
+      locations.push_back(host->location());
+    }
+    for (const auto& host : hosts_) {
+      host->SetHosts(locations);
+    }
   }
 
   void PublishServers() {
@@ -271,6 +284,7 @@
     }
     events_.After(event.duration, [this] {
       hosts_down_ = false;
+      InformHosts();
       PublishServers();
     });
   }
--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -48,8 +48,10 @@
       on_servers;
   /// Number of registered entry hosts.
   std::function<void(int)> on_host_count;
-  /// The registered hosts, whenever they were read from the store.
-  std::function<void(const std::vector<heathersteer::HostRegistration>&)>
+  /// The registered hosts, whenever they were read from the store. `settled`
+  /// tells whether they are all hosts, as far as this one can know.
+  std::function<void(const std::vector<heathersteer::HostRegistration>&,
+                     bool settled)>
       on_hosts;
   /// Returns this host's observations of rate limits and its demand.
   std::function<heathersteer::LimitSummary()> report_limits;
@@ -143,6 +145,7 @@
   void OnQuery(const std::shared_ptr<HttpExchange>& exchange);
   void OnPeerResponse(const RelayResponse& response);
   void SetHostCount(int host_count);
+  void ReadHostsIfChanged(int host_count);
   void SetPeers(const std::vector<heathersteer::HostRegistration>& hosts);
   bool HasUpdate(const RelayRequest& request) const;
   void RespondWithUpdates();
@@ -235,6 +238,11 @@
   // Whether a registration has failed since the start.
   bool start_failed_ = false;
   bool hosts_known_ = false;
+  // Number of hosts by the last read of the registrations, and when it changed.
+  int read_host_count_ = 0;
+  heatherlever::Instant hosts_changed_at_{0};
+  // Whether all hosts have registered, as far as this one can know.
+  bool hosts_settled_;
   // Whether a read of the registrations was left out while this host followed
   // another one.
   bool hosts_read_due_ = false;
--- a/src/include/heathergate/fleet_options.h
+++ b/src/include/heathergate/fleet_options.h
@@ -12,6 +12,9 @@
 struct FleetOptions {
   /// Maximum time from a change in the store until this host acts on it.
   heatherlever::Duration propagation_bound = std::chrono::seconds(2);
+  /// Whether all hosts may be starting for the first time, so that those that
+  /// have registered need not be all. Registrations outlive the hosts.
+  bool first_start = true;
   /// Last of the ports that the relay server may listen at; the first one is
   /// in the host's registration.
   std::uint16_t last_relay_port = 0;
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -30,6 +30,7 @@
 #include "heathersteer/wait_queue.h"
 
 namespace heathersteer {
+struct HostRegistration;
 struct TrafficConfig;
 class SteeringRules;
 }  // namespace heathersteer
@@ -77,6 +78,11 @@
   /// Sets the number of entry hosts, which share retry budgets and rates.
   void SetHostCount(int host_count);
 
+  /// Sets all entry hosts, which share the request rates of cold servers; empty
+  /// while some of them may not be known yet.
+  void SetColdRateHosts(
+      const std::vector<heathersteer::HostRegistration>& hosts);
+
   heathersteer::ServerTable& servers() { return servers_; }
   const heathersteer::ServerTable& servers() const { return servers_; }
 
@@ -124,6 +130,12 @@
   /// Number of backend servers whose rate limit is in force.
   std::size_t limited_servers() const;
 
+  /// Number of requests that were sent to cold servers.
+  std::uint64_t cold_sends() const { return placement_.cold_sends(); }
+
+  /// Number of hosts that share the rates of cold servers; 0 if not known.
+  std::size_t cold_rate_hosts() const { return cold_rate_hosts_; }
+
   const GatewayCounters& counters() const { return counters_; }
 
   /// Times from the arrival of a request to its delivered response, by rank.
@@ -197,6 +209,7 @@
   Timer tick_;
   bool ticking_ = false;
   int host_count_ = 1;
+  std::size_t cold_rate_hosts_ = 0;
 };
 
 }  // namespace heathergate
--- a/src/include/heathergate/gateway_counters.h
+++ b/src/include/heathergate/gateway_counters.h
@@ -28,6 +28,8 @@
   std::uint64_t quarantined = 0;
   /// Requests sent to servers with a rate limit.
   std::uint64_t limited_sends = 0;
+  /// Requests rejected because the first usable server was cold.
+  std::uint64_t cold_rejections = 0;
   /// Requests sent to other hosts, as no backend server was reachable.
   std::uint64_t detours = 0;
   /// Requests of other hosts that reached no backend server.
--- /dev/null
+++ b/src/include/heathersteer/cold_rate_shares.h
@@ -0,0 +1,56 @@
+#ifndef HEATHERSTEER_COLD_RATE_SHARES_H_
+#define HEATHERSTEER_COLD_RATE_SHARES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "heatherlever/instant.h"
+#include "heathersteer/host_location.h"
+
+namespace heathersteer {
+
+struct BackendServer;
+struct PlacementOptions;
+
+/// Divides the request rate of a cold server between all hosts, in whole
+/// requests per second. Hosts with the same list of hosts agree on the shares;
+/// those close to the server come first.
+class ColdRateShares {
+ public:
+  /// Without a list of hosts this host has no share.
+  explicit ColdRateShares(const PlacementOptions& options);
+
+  /// Sets all hosts that share the rates; empty while some may not be known.
+  /// The first list takes effect with a delay.
+  void SetHosts(std::vector<HostLocation> hosts, heatherlever::Instant now);
+
+  /// This host's position for `server` among all hosts, from 0.
+  std::size_t Rank(const BackendServer& server) const;
+
+  /// Requests/s of the host at position `rank`, of `requests_per_s`.
+  int Share(double requests_per_s, std::size_t rank) const;
+
+  /// Whether the shares can be used already.
+  bool known(heatherlever::Instant now) const {
+    return !hosts_.empty() && now >= usable_from_;
+  }
+
+  /// Changes with each list; ranks of different generations may differ.
+  std::uint64_t generation() const { return generation_; }
+
+ private:
+  double Score(const HostLocation& host, const BackendServer& server) const;
+
+  HostLocation self_;
+  double other_region_weight_;
+  double other_domain_weight_;
+  std::vector<HostLocation> hosts_;
+  std::uint64_t generation_ = 0;
+  heatherlever::Instant usable_from_{0};
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_COLD_RATE_SHARES_H_
--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -2,6 +2,7 @@
 #define HEATHERSTEER_PLACEMENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "heatherlever/instant.h"
+#include "heathersteer/cold_rate_shares.h"
 #include "heathersteer/placement_options.h"
 #include "heathersteer/server_table.h"
 
@@ -50,9 +52,11 @@
   /// Whether the request would be shifted by free capacity alone, without the
   /// shift limiter.
   bool would_shift = false;
-  /// Time until the first server may get a request if the rate limits of all
-  /// usable servers are used up; otherwise 0.
+  /// Time until the first server may get a request if all usable servers are at
+  /// their rate limits or cold; otherwise 0.
   heatherlever::Duration limited_for{0};
+  /// Whether that server is cold, so that a rate limit alone isn't the reason.
+  bool limited_by_cold = false;
   /// Whether too many servers of the local region are suspended, cold or
   /// evacuated.
   bool region_impaired = false;
@@ -62,7 +66,8 @@
 /// over the service's servers with bounded load; closer servers weigh more.
 class Placement {
  public:
-  explicit Placement(PlacementOptions options) : options_(std::move(options)) {}
+  explicit Placement(PlacementOptions options)
+      : options_(std::move(options)), cold_shares_(options_) {}
 
   PlacementChoice Choose(const ServerTable& table,
                          const PlacementRequest& request,
@@ -71,11 +76,17 @@
   /// Counts a request that is sent to `server`.
   void Commit(ServerState& server,
               const Service& service,
-              heatherlever::Instant now) const;
+              heatherlever::Instant now);
 
-  /// Sets the number of hosts that share the request rate of cold servers.
+  /// Sets the number of hosts that share servers' rate limits.
   void set_host_count(int hosts) { options_.host_count = hosts; }
 
+  /// The hosts that share the request rates of cold servers.
+  ColdRateShares& cold_shares() { return cold_shares_; }
+
+  /// Number of requests that were sent to cold servers.
+  std::uint64_t cold_sends() const { return cold_sends_; }
+
   /// Maximum number of concurrent requests at `server` for `route`.
   double ConcurrencyLimit(const ServerState& server,
                           const Route& route,
@@ -101,9 +112,9 @@
 
   void CountDemand(const std::vector<Candidate>& ranked,
                    heatherlever::Instant now) const;
-  bool ColdLimited(ServerState& state,
-                   const Service& service,
-                   heatherlever::Instant now) const;
+  heatherlever::Duration ColdTimeToSend(ServerState& state,
+                                        const Service& service,
+                                        heatherlever::Instant now) const;
   heatherlever::Duration TimeToSend(ServerState& state,
                                     heatherlever::Instant now) const;
   void UpdateBest(const Candidate& candidate,
@@ -128,10 +139,11 @@
   bool MayServe(const ServerState& state,
                 ServerGroup group,
                 heatherlever::Instant now) const;
-  heatherlever::Duration ColdInterval(const Service& service) const;
   double Weight(const ServerState& server, heatherlever::Instant now) const;
 
   PlacementOptions options_;
+  ColdRateShares cold_shares_;
+  std::uint64_t cold_sends_ = 0;
 };
 
 }  // namespace heathersteer
--- a/src/include/heathersteer/server_health.h
+++ b/src/include/heathersteer/server_health.h
@@ -28,10 +28,8 @@
     return now >= suspended_until_;
   }
 
-  /// Whether the server failed so recently that it may have restarted since.
-  bool on_probation(heatherlever::Instant now) const {
-    return now < probation_until_;
-  }
+  /// Time until which the server may have restarted since it failed.
+  heatherlever::Instant probation_end() const { return probation_until_; }
 
   /// Share of recent requests that the server refused despite free capacity, 0
   /// to 1.
--- a/src/include/heathersteer/server_state.h
+++ b/src/include/heathersteer/server_state.h
@@ -1,14 +1,15 @@
 #ifndef HEATHERSTEER_SERVER_STATE_H_
 #define HEATHERSTEER_SERVER_STATE_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
+#include "heathersteer/cold_rate_limiter.h"
 #include "heathersteer/server_health.h"
 #include "heathersteer/server_load.h"
 #include "heathersteer/server_rate_limit.h"
-#include "heathersteer/shared_rate_limiter.h"
 
 namespace heathersteer {
 
@@ -18,7 +19,7 @@
   ServerLoad load;
   ServerHealth health;
   /// Limits this host's requests to the server while it is cold.
-  SharedRateLimiter cold_limiter;
+  ColdRateLimiter cold_limiter;
   ServerRateLimit rate_limit;
   /// Time at which the server first stated that it is leaving, if it has.
   std::optional<heatherlever::Instant> leaving_since;
@@ -26,8 +27,11 @@
   bool listed = true;
 
   /// Whether the server is limited to the request rate of a cold server.
-  bool cold(heatherlever::Instant now) const {
-    return now < server.cold_until || health.on_probation(now);
+  bool cold(heatherlever::Instant now) const { return now < cold_end(); }
+
+  /// Time until which the server counts as cold.
+  heatherlever::Instant cold_end() const {
+    return std::max(server.cold_until, health.probation_end());
   }
 };
 
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -11,6 +11,7 @@
 #include "heathergate/http_status.h"
 #include "heathergate/listen_address.h"
 #include "heathernet/event_loop.h"
+#include "heathersteer/hash.h"
 #include "heathersteer/milliseconds.h"
 #include "libheathergate/limit_exchange.h"
 #include "libheathergate/peer_query.h"
@@ -38,6 +39,9 @@
 // Delay before the second read of the registrations after the start. By then
 // all hosts that started together have registered.
 constexpr Duration kSecondHostsReadDelay = std::chrono::seconds(2);
+// Mean time between the reads of two hosts if all hosts read the registrations
+// anew, so that the load of the store does not grow with their number.
+constexpr Duration kHostsReadSpacing = std::chrono::milliseconds(40);
 // Time allowed for a response beyond the long-poll timeout.
 constexpr Duration kResponseSlack = std::chrono::milliseconds(300);
 // Delay before the next host is followed after a failure.
@@ -120,7 +124,8 @@
       tick_timer_(loop),
       suspects_timer_(loop),
       suspects_limiter_(kSuspectsInterval, kSuspectsBurst),
-      incarnation_(RandomIncarnation()) {}
+      incarnation_(RandomIncarnation()),
+      hosts_settled_(!options.first_start) {}
 
 FleetAgent::~FleetAgent() = default;
 
@@ -290,21 +295,44 @@
   }
 }
 
+// Followers get the number of hosts only.
+void FleetAgent::ReadHostsIfChanged(int host_count) {
+  if (host_count == read_host_count_ ||
+      !std::exchange(hosts_read_due_, false)) {
+    return;
+  }
+  const Duration spread = kHostsReadSpacing * host_count;
+  const double part =
+      heathersteer::UnitHash(relay_order_.self().name, incarnation_);
+  hosts_timer_.Start(Duration(static_cast<Duration::rep>(
+                         static_cast<double>(spread.count()) * part)),
+                     [this] { ReadHosts(); });
+}
+
 void FleetAgent::OnHostsRead(const Listing<HostRegistration>& hosts) {
   const bool first = !std::exchange(hosts_known_, true);
   const bool restored = !first && hosts.timeline > hosts_.timeline();
-  hosts_.Update(hosts, EventLoop::Now());
+  const Instant now = EventLoop::Now();
+  hosts_.Update(hosts, now);
   const std::vector<HostRegistration> known = hosts_.hosts();
   relay_order_.SetHosts(known);
   SetPeers(known);
-  listener_.on_hosts(known);
   limit_exchange_->SetHosts(relay_order_.self(), known);
   const HostRegistration& self = relay_order_.self();
   const bool listed = std::any_of(
       known.begin(), known.end(),
       [&](const HostRegistration& host) { return host.name == self.name; });
   // This host counts although it may not be registered yet.
-  SetHostCount(static_cast<int>(known.size()) + (listed ? 0 : 1));
+  const int count = static_cast<int>(known.size()) + (listed ? 0 : 1);
+  if (std::exchange(read_host_count_, count) != count) {
+    hosts_changed_at_ = now;
+  }
+  if (now - hosts_changed_at_ >= kSecondHostsReadDelay) {
+    hosts_settled_ = true;
+  }
+  // Other hosts don't count this one before it is listed.
+  listener_.on_hosts(known, hosts_settled_ && listed);
+  SetHostCount(count);
   spdlog::info("{} hosts are registered", host_count_);
   if (!registering_ && hosts_.IsLost(self.name, self.registration_version)) {
     spdlog::warn("the store has lost the registration of {}", self.name);
@@ -314,15 +342,16 @@
     Follow();
   }
   // Later on followers get the number of hosts from the one they follow.
-  const bool soon = first || restored;
-  hosts_timer_.Start(soon ? kSecondHostsReadDelay : kHostsReadInterval,
-                     [this, first] {
-                       if (first || followed_host_.empty()) {
-                         ReadHosts();
-                       } else {
-                         hosts_read_due_ = true;
-                       }
-                     });
+  const bool again = first || !hosts_settled_;
+  hosts_timer_.Start(
+      again || restored ? kSecondHostsReadDelay : kHostsReadInterval,
+      [this, again] {
+        if (again || followed_host_.empty()) {
+          ReadHosts();
+        } else {
+          hosts_read_due_ = true;
+        }
+      });
 }
 
 void FleetAgent::Follow() {
@@ -457,6 +486,7 @@
   if (response.host_count != host_count_) {
     SetHostCount(response.host_count);
   }
+  ReadHostsIfChanged(response.host_count);
   if (response.limits) {
     ApplyLimits(*response.limits);
   }
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -126,7 +126,12 @@
     return;
   }
   if (last_choice_.limited_for > heathersteer::MaxQueueTime(route_)) {
-    EndUnplaced("servers at their rate limits");
+    if (last_choice_.limited_by_cold) {
+      ++gateway_.counters_.cold_rejections;
+      EndUnplaced("servers are cold");
+    } else {
+      EndUnplaced("servers at their rate limits");
+    }
     return;
   }
   Enqueue();
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -11,6 +11,7 @@
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
 #include "heathernet/event_loop.h"
+#include "heathersteer/host_registration.h"
 #include "heathersteer/rejection.h"
 #include "heathersteer/server_state.h"
 #include "heathersteer/traffic_config.h"
@@ -323,6 +324,19 @@
   placement_.set_host_count(host_count);
 }
 
+void Gateway::SetColdRateHosts(
+    const std::vector<heathersteer::HostRegistration>& hosts) {
+  if (hosts.size() != std::exchange(cold_rate_hosts_, hosts.size())) {
+    spdlog::info("{} hosts share the rates of cold servers", hosts.size());
+  }
+  std::vector<heathersteer::HostLocation> locations;
+  locations.reserve(hosts.size());
+  for (const heathersteer::HostRegistration& host : hosts) {
+    locations.push_back({host.name, host.region, host.domain});
+  }
+  placement_.cold_shares().SetHosts(std::move(locations), EventLoop::Now());
+}
+
 void Gateway::SetRetryOptions(const heathersteer::RetryBudgetOptions& retries) {
   options_.retries = retries;
   for (auto& [service, budget] : budgets_) {
--- a/src/libheathergate/metrics_text.cc
+++ b/src/libheathergate/metrics_text.cc
@@ -14,7 +14,7 @@
   std::uint64_t GatewayCounters::*value;
 };
 
-constexpr std::array<Counter, 15> kCounters = {{
+constexpr std::array<Counter, 16> kCounters = {{
     {"heather_requests_total", &GatewayCounters::requests},
     {"heather_delivered_total", &GatewayCounters::delivered},
     {"heather_rejected_total", &GatewayCounters::rejected},
@@ -28,6 +28,7 @@
     {"heather_throttled_total", &GatewayCounters::throttled},
     {"heather_quarantined_total", &GatewayCounters::quarantined},
     {"heather_limited_sends_total", &GatewayCounters::limited_sends},
+    {"heather_cold_rejections_total", &GatewayCounters::cold_rejections},
     {"heather_detours_total", &GatewayCounters::detours},
     {"heather_detoured_total", &GatewayCounters::detoured},
 }};
@@ -56,6 +57,10 @@
     text << "# TYPE " << counter.name << " counter\n";
     text << counter.name << " " << gateway.counters().*counter.value << "\n";
   }
+  text << "# TYPE heather_cold_sends_total counter\n";
+  text << "heather_cold_sends_total " << gateway.cold_sends() << "\n";
+  text << "# TYPE heather_cold_rate_hosts gauge\n";
+  text << "heather_cold_rate_hosts " << gateway.cold_rate_hosts() << "\n";
   text << "# TYPE heather_requests_active gauge\n";
   text << "heather_requests_active " << gateway.active() << "\n";
   text << "# TYPE heather_backend_servers gauge\n";
--- /dev/null
+++ b/src/libheathersteer/cold_rate_shares_test.cc
@@ -0,0 +1,160 @@
+#include "heathersteer/cold_rate_shares.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "heathersteer/backend_server.h"
+#include "heathersteer/cold_rate_limiter.h"
+#include "heathersteer/placement_options.h"
+
+namespace heathersteer {
+namespace {
+
+using heatherlever::Duration;
+using heatherlever::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kNow = Instant(seconds(100));
+constexpr int kDomains = 4;
+
+PlacementOptions Options(int index) {
+  PlacementOptions options;
+  options.host = "host" + std::to_string(index);
+  options.region = "region" + std::to_string(index % kDomains / 2);
+  options.domain = "domain" + std::to_string(index % kDomains);
+  return options;
+}
+
+std::vector<HostLocation> Hosts(int count) {
+  std::vector<HostLocation> hosts;
+  for (int i = 0; i < count; ++i) {
+    const PlacementOptions options = Options(i);
+    hosts.push_back({options.host, options.region, options.domain});
+  }
+  return hosts;
+}
+
+BackendServer Server(int index) {
+  BackendServer server;
+  server.id = "i-" + std::to_string(index);
+  server.region = "region0";
+  server.domain = "domain0";
+  return server;
+}
+
+ColdRateShares MakeShares(int index, int count) {
+  ColdRateShares shares(Options(index));
+  shares.SetHosts(Hosts(count), kNow);
+  return shares;
+}
+
+TEST(ColdRateSharesTest, SharesAddUpToTheWholePartOfTheRate) {
+  for (const int count : {1, 2, 9, 10, 22, 122}) {
+    for (const double rate : {0.0, 0.3, 1.0, 9.7, 15.0, 300.0}) {
+      for (int server = 0; server < 5; ++server) {
+        int sum = 0;
+        for (int i = 0; i < count; ++i) {
+          const ColdRateShares shares = MakeShares(i, count);
+          sum += shares.Share(rate, shares.Rank(Server(server)));
+        }
+        EXPECT_EQ(sum, rate < 1 ? 1 : static_cast<int>(rate));
+      }
+    }
+  }
+}
+
+// The requests of hosts far away seldom reach the server, so their shares would
+// not be used.
+TEST(ColdRateSharesTest, MostSharesGoToHostsCloseToTheServer) {
+  constexpr int kHosts = 24;
+  constexpr double kRate = 6;
+  constexpr int kServers = 50;
+  std::vector<int> sums(kDomains);
+  for (int i = 0; i < kHosts; ++i) {
+    const ColdRateShares shares = MakeShares(i, kHosts);
+    for (int server = 0; server < kServers; ++server) {
+      sums[i % kDomains] += shares.Share(kRate, shares.Rank(Server(server)));
+    }
+  }
+  EXPECT_GT(sums[0], sums[1]);
+  EXPECT_GT(sums[1], sums[2]);
+  EXPECT_GT(sums[1], sums[3]);
+  EXPECT_GT(sums[0] + sums[1], 2 * (sums[2] + sums[3]));
+}
+
+TEST(ColdRateSharesTest, HostWithoutAListHasNoShare) {
+  const ColdRateShares shares(Options(0));
+  EXPECT_EQ(shares.Share(10, 0), 0);
+  ColdRateLimiter limiter;
+  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 10, kNow), Duration::max());
+}
+
+// A host that was restarted sent its share of a second twice.
+TEST(ColdRateSharesTest, FirstListTakesEffectAfterASecond) {
+  ColdRateShares shares = MakeShares(0, 1);
+  ColdRateLimiter limiter;
+  const auto time_to_send = [&](Instant now) {
+    return limiter.TimeToSend(shares, Server(0), 10, now);
+  };
+  EXPECT_GT(time_to_send(kNow + milliseconds(999)), Duration(0));
+  EXPECT_EQ(time_to_send(kNow + seconds(1)), Duration(0));
+  shares.SetHosts(Hosts(2), kNow + seconds(5));
+  EXPECT_EQ(time_to_send(kNow + seconds(5)), Duration(0));
+}
+
+TEST(ColdRateLimiterTest, NoSecondHoldsMoreThanTheShareAfterAnIdleTime) {
+  const ColdRateShares shares = MakeShares(0, 1);
+  for (int share = 1; share <= 300; ++share) {
+    ColdRateLimiter limiter;
+    limiter.RecordSend(kNow);
+    Instant now = kNow + seconds(60);
+    int sent = 0;
+    for (const Instant end = now + seconds(1); now <= end;) {
+      ASSERT_EQ(limiter.TimeToSend(shares, Server(0), share, now), Duration(0));
+      limiter.RecordSend(now);
+      ++sent;
+      now += limiter.TimeToSend(shares, Server(0), share, now);
+    }
+    ASSERT_LE(sent, share);
+  }
+}
+
+// A host waited for the interval of the share that it had before.
+TEST(ColdRateLimiterTest, ShorterIntervalAppliesAtOnce) {
+  const ColdRateShares shares = MakeShares(0, 1);
+  ColdRateLimiter limiter;
+  const Instant now = kNow + seconds(2);
+  limiter.RecordSend(now);
+  EXPECT_GT(limiter.TimeToSend(shares, Server(0), 1, now + milliseconds(501)),
+            Duration(0));
+  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 2, now + milliseconds(501)),
+            Duration(0));
+}
+
+// The rank of a list that has changed stayed in use.
+TEST(ColdRateLimiterTest, NewListAppliesAtOnce) {
+  ColdRateShares shares = MakeShares(0, 1);
+  ColdRateLimiter limiter;
+  const Instant now = kNow + seconds(2);
+  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 1, now), Duration(0));
+  int with_share = 0;
+  for (int server = 0; server < 20; ++server) {
+    ColdRateLimiter each;
+    each.TimeToSend(shares, Server(server), 1, now);
+    shares.SetHosts(Hosts(8), now);
+    const bool first = shares.Rank(Server(server)) == 0;
+    EXPECT_EQ(each.TimeToSend(shares, Server(server), 1, now) == Duration(0),
+              first);
+    with_share += first ? 1 : 0;
+    shares.SetHosts(Hosts(1), now);
+  }
+  EXPECT_LT(with_share, 20);
+}
+
+}  // namespace
+}  // namespace heathersteer
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdint>
 #include <map>
 
 #include "heathersteer/hash.h"
@@ -29,9 +28,6 @@
 // Share of impaired slots above which a region counts as impaired.
 constexpr double kImpairedShare = 0.15;
 
-// Minimum request rate of cold servers, also for services that declare none.
-constexpr double kMinColdRequestsPerSecond = 1;
-
 bool Contains(const std::vector<std::string>& list, const std::string& value) {
   return std::find(list.begin(), list.end(), value) != list.end();
 }
@@ -152,10 +148,13 @@
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const Candidate& candidate = ranked[rank];
     ServerState& state = *candidate.server;
-    const Duration limited_for = TimeToSend(state, now);
-    shortest_limit = std::min(shortest_limit, limited_for);
-    if (limited_for > Duration(0) ||
-        ColdLimited(state, *request.service, now)) {
+    const Duration cold_for = ColdTimeToSend(state, *request.service, now);
+    const Duration limited_for = std::max(TimeToSend(state, now), cold_for);
+    if (limited_for < shortest_limit) {
+      shortest_limit = limited_for;
+      choice.limited_by_cold = cold_for == limited_for;
+    }
+    if (limited_for > Duration(0)) {
       continue;
     }
     const int max_choices =
@@ -168,6 +167,8 @@
   if (!ranked.empty()) {
     choice.limited_for = shortest_limit;
   }
+  choice.limited_by_cold =
+      choice.limited_by_cold && choice.limited_for > Duration(0);
   choice.server =
       ChooseRegion(request, local, remote, local_usable, now, choice).server;
   return choice;
@@ -188,12 +189,17 @@
   }
 }
 
-bool Placement::ColdLimited(ServerState& state,
-                            const Service& service,
-                            Instant now) const {
-  return state.cold(now) &&
-         !state.cold_limiter.Ready(now, ColdInterval(service),
-                                   UnitHash(options_.host, state.server.id));
+// Without a share of the server's rate, until it is warm.
+Duration Placement::ColdTimeToSend(ServerState& state,
+                                   const Service& service,
+                                   Instant now) const {
+  if (!state.cold(now)) {
+    return Duration(0);
+  }
+  return std::min(
+      state.cold_end() - now,
+      state.cold_limiter.TimeToSend(cold_shares_, state.server,
+                                    service.cold_requests_per_s, now));
 }
 
 Duration Placement::TimeToSend(ServerState& state, Instant now) const {
@@ -268,22 +274,14 @@
   return impaired > kImpairedShare * slots;
 }
 
-void Placement::Commit(ServerState& state,
-                       const Service& service,
-                       Instant now) const {
+void Placement::Commit(ServerState& state, const Service&, Instant now) {
   state.load.Sent();
   state.rate_limit.Take();
+  // Whether the server is cold may become known only later.
+  state.cold_limiter.RecordSend(now);
   if (state.cold(now)) {
-    state.cold_limiter.Take(now, ColdInterval(service));
+    ++cold_sends_;
   }
 }
 
-Duration Placement::ColdInterval(const Service& service) const {
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  const double rate =
-      std::max(service.cold_requests_per_s, kMinColdRequestsPerSecond);
-  return Duration(static_cast<std::int64_t>(options_.host_count / rate *
-                                            kMicrosecondsPerSecond));
-}
-
 }  // namespace heathersteer
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -222,11 +222,17 @@
   cold.cold_until = kNow + seconds(30);
   std::vector<Placement> hosts;
   std::vector<ServerTable> tables(kHosts);
+  std::vector<HostLocation> locations;
   for (int i = 0; i < kHosts; ++i) {
-    hosts.emplace_back(Options("north", "host" + std::to_string(i)));
-    hosts.back().set_host_count(kHosts);
+    const PlacementOptions options =
+        Options("north", "host" + std::to_string(i));
+    locations.push_back({options.host, options.region, options.domain});
+    hosts.emplace_back(options);
     tables[i].Put(cold);
   }
+  for (Placement& host : hosts) {
+    host.cold_shares().SetHosts(locations, kNow);
+  }
   std::vector<Instant> arrivals;
   for (Instant now = kNow; now < kNow + seconds(20); now += milliseconds(20)) {
     for (int i = 0; i < kHosts; ++i) {
@@ -276,5 +282,26 @@
   EXPECT_EQ(free.limited_for, milliseconds(0));
 }
 
+// Requests were queued for servers that could not take them in time.
+TEST_F(PlacementTest, TellsThatAllServersAreColdAndForHowLong) {
+  const Placement placement(Options("north"));
+  for (int i = 0; i < kServersPerRegion; ++i) {
+    for (const std::string region : {"north", "south"}) {
+      BackendServer cold = MakeServer(region + std::to_string(i), region);
+      cold.cold_until = kNow + seconds(3 + i);
+      table_.Put(cold);
+    }
+  }
+  const auto limited = placement.Choose(table_, Request("key"), kNow);
+  EXPECT_EQ(limited.server, nullptr);
+  EXPECT_EQ(limited.limited_for, seconds(3));
+  EXPECT_TRUE(limited.limited_by_cold);
+  const auto later =
+      placement.Choose(table_, Request("key"), kNow + milliseconds(3500));
+  EXPECT_EQ(later.server->server.id.back(), '0');
+  EXPECT_EQ(later.limited_for, seconds(0));
+  EXPECT_FALSE(later.limited_by_cold);
+}
+
 }  // namespace
 }  // namespace heathersteer
--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -53,7 +53,8 @@
 class Host:
     """One entry host process. `await_log(text)` waits for a log line that contains the text and returns it."""
 
-    def __init__(self, name, store_port, domain="d-a", address="127.0.0.1", seeds=(), bounds=None, rules=None):
+    def __init__(self, name, store_port, domain="d-a", address="127.0.0.1", seeds=(), bounds=None, rules=None,
+                 first_start=False):
         self.name = name
         self.caller_port, self.ready_port, self.directory_port, self.control_port, self.internal_port, self.metrics_port = (
             free_ports(6))
@@ -68,6 +69,7 @@
             "internalPorts": [self.internal_port, self.internal_port],
             "bounds": {"grace": "6s", "ttl_max": "5s", "budgetRatio": 0.2, "budgetWindow": "10s", "budgetExtra": 100, **(bounds or {})},
             "platform": {"address": f"127.0.0.1:{store_port}"},
+            "bootstrap": first_start,
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.write_settings()
--- a/testsuite/gateway/rate_limit_test.py
+++ b/testsuite/gateway/rate_limit_test.py
@@ -1,3 +1,4 @@
+import signal
 import threading
 import time
 import unittest
@@ -12,6 +13,11 @@
 ALLOWED = 1.5 * WINDOW_S * LIMIT_PER_S + 5
 DURATION_S = 9
 CLIENTS = 4
+# Rate of a cold server, and number of hosts that share it.
+COLD_PER_S = 10
+HOSTS = 22
+# A host that has just learnt of all hosts sends nothing to cold servers for 1 s.
+COLD_START_DELAY_S = 1.1
 # Longer than the first interval between reads of the registrations.
 HOSTS_READ_S = 15
 
@@ -136,6 +142,94 @@
             time.sleep(0.02)
         self.assertLessEqual(len(cold.runs), 1)
 
+    def test_cold_server_gets_nothing_while_hosts_may_still_register(self):
+        cold = self.cold_backend("i-1")
+        self.backend("i-2", slots=100)
+        host = self.started_host("h1", first_start=True)
+        host.await_log("backend server i-2 ")
+        host.await_log("1 hosts are registered")
+        for number in range(50):
+            self.assertEqual(200, host.request(request_id=f"early-{number}", key=str(number))[0])
+        self.assertEqual(0, len(cold.runs))
+        self.assertEqual(0, host.metric("heather_cold_rate_hosts"))
+        host.await_log("1 hosts share the rates of cold servers")
+        time.sleep(COLD_START_DELAY_S)
+        for number in range(50):
+            self.assertEqual(200, host.request(request_id=f"late-{number}", key=str(number))[0])
+        self.assertGreaterEqual(len(cold.runs), 1)
+        self.assertEqual(len(cold.runs), host.metric("heather_cold_sends_total"))
+
+    def test_host_of_a_system_that_ran_before_needs_one_read_of_the_registrations(self):
+        host = self.started_host("h1")
+        host.await_log("1 hosts share the rates of cold servers", timeout_s=1.5)
+
+    def test_request_is_rejected_at_once_while_all_servers_are_cold(self):
+        cold = self.cold_backend("i-1")
+        host = self.started_host("h1", first_start=True)
+        host.await_log("backend server i-1 ")
+        status, headers, _ = host.request(request_id="id-2")
+        self.assertEqual(503, status)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        line = host.await_log("request id=id-2 ")
+        self.assertIn('reason="servers are cold"', line)
+        self.assertIn("sends=0 servers= ", line)
+        # The queue time of the route is an eighth of 4 s.
+        self.assertLess(int(line.split("took_ms=")[1].split()[0]), 500)
+        self.assertEqual(1, host.metric("heather_cold_rejections_total"))
+        self.assertEqual(0, len(cold.runs))
+
+    def test_hosts_together_keep_to_the_rate_of_a_cold_server_after_a_common_stop(self):
+        cold = self.cold_backend("i-1")
+        self.backend("i-2", slots=1000)
+        hosts = [self.started_host(f"h{number}", domain=("d-a", "d-b", "e-a")[number % 3])
+                 for number in range(HOSTS)]
+        for host in hosts:
+            host.await_log("backend server i-2 ")
+            host.await_log(f"{HOSTS} hosts share the rates of cold servers", timeout_s=HOSTS_READ_S)
+        time.sleep(COLD_START_DELAY_S)
+        end = time.monotonic() + 8
+        stops = threading.Thread(target=self.stop_together, args=(hosts, end - 2))
+        stops.start()
+        self.load(hosts, end, clients=1, pause_s=0.05)
+        stops.join()
+        arrivals = sorted(cold.times)
+        self.assertGreater(len(arrivals), COLD_PER_S)
+        busiest = max(sum(first <= at < first + 1 for at in arrivals) for first in arrivals)
+        self.assertLessEqual(busiest, COLD_PER_S * 1.5 + 5)
+
+    def test_follower_reads_the_hosts_that_registered_after_it(self):
+        self.started_host("h1")
+        follower = self.started_host("h2")
+        follower.await_log("news come from h1")
+        follower.await_log("2 hosts share the rates of cold servers")
+        # The relay reads the registrations at this interval.
+        self.started_host("h3", domain="d-b")
+        follower.await_log("3 hosts share the rates of cold servers", timeout_s=2 * HOSTS_READ_S)
+
+    def cold_backend(self, name):
+        """A server that stays cold, with the times at which it got requests."""
+        backend = self.backend(name, slots=1000)
+        backend.times = []
+
+        def respond(request, connection):
+            backend.times.append(time.monotonic())
+            return backend.succeed(request, connection)
+
+        backend.behave = respond
+        self.store.put("servers", name, {**backend.row(slots=1000), "coldRemaining": "60000ms"})
+        return backend
+
+    @staticmethod
+    def stop_together(hosts, end):
+        """Stops all processes for a while, again and again."""
+        while time.monotonic() < end:
+            for host in hosts:
+                host.process.send_signal(signal.SIGSTOP)
+            time.sleep(1.2)
+            for host in hosts:
+                host.process.send_signal(signal.SIGCONT)
+            time.sleep(1)
+
     def started_host(self, name, **options):
         host = super().started_host(name, **options)
         self.hosts[name] = host
@@ -149,7 +243,7 @@
             time.sleep(0.01)
         self.fail(f"{host.name} never responded with {expected}")
 
-    def load(self, hosts, end):
+    def load(self, hosts, end, clients=CLIENTS, pause_s=0.01):
         """Sends requests for many objects until `end` from some clients a host; returns the statuses."""
         statuses = []
 
@@ -160,10 +254,10 @@
                 number += 1
                 request_id = f"{host.name}-{client}-{number}"
                 statuses.append(host.request(request_id=request_id, key=request_id, connection=connection)[0])
-                time.sleep(0.01)
+                time.sleep(pause_s)
             connection.close()
 
-        threads = [threading.Thread(target=send, args=(host, client)) for host in hosts for client in range(CLIENTS)]
+        threads = [threading.Thread(target=send, args=(host, client)) for host in hosts for client in range(clients)]
         for thread in threads:
             thread.start()
         for thread in threads:
