Hosts take no part of limits and retries before they know the hosts' number

Seen: a host that had just started counted itself as the only one, and took a whole limit that a server states, and the whole number of retries beyond their share (`extra`), until it had read the registrations: rate_limit_test against gets 50 of 50 requests served by a server that states 10 requests/s where its other hosts are not known.

Cause: the number of hosts began with 1, at the host and in what it states to followers and peers, which divided by it.

Change: the number is 0 until the first list, or the number of a peer, is known; RetryBudget and ServerRateLimit then give no part of what is divided. Retries of the host's own requests (`ratio`) are not affected. Messages still state at least 1, as hosts of older builds divide by it; a host that follows or asks another one ignores 1, since two hosts are at least two.

Tests that fail before: RetryBudgetTest.UsesNothingOfExtraWhileTheHostsAreNotCounted, PlacementTest.LimitedServerGetsNothingWhileTheHostsAreNotCounted (0 counted as 1), rate_limit_test.test_host_that_does_not_know_the_number_of_hosts_takes_no_part_of_a_limit. PlacementTest states the one host that was the default.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -144,6 +144,7 @@
   std::string MakeQuery() const;
   void OnQuery(const std::shared_ptr<HttpExchange>& exchange);
   void OnPeerResponse(const RelayResponse& response);
+  int StatedHostCount() const;
   void SetHostCount(int host_count);
   void ReadHostsIfChanged(int host_count);
   void SetPeers(const std::vector<heathersteer::HostRegistration>& hosts);
@@ -230,7 +231,8 @@
   std::string followed_host_;
   std::uint64_t relay_requests_ = 0;
   heatherlever::Instant started_at_{0};
-  int host_count_ = 1;
+  // 0 while it isn't known.
+  int host_count_ = 0;
   // Newest timeline of the store that this host knows of.
   std::uint64_t timeline_ = 0;
   bool registered_ = false;
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -75,7 +75,8 @@
   /// Sets the limits of retries; they apply to all services at once.
   void SetRetryOptions(const heathersteer::RetryBudgetOptions& retries);
 
-  /// Sets the number of entry hosts, which share retry budgets and rates.
+  /// Sets the number of entry hosts, which share retry budgets and rates. Until
+  /// then this host has no part of them.
   void SetHostCount(int host_count);
 
   /// Sets all entry hosts, which share the request rates of cold servers; empty
@@ -208,7 +209,8 @@
   bool accepting_ = true;
   Timer tick_;
   bool ticking_ = false;
-  int host_count_ = 1;
+  // 0 while it isn't known.
+  int host_count_ = 0;
   std::size_t cold_rate_hosts_ = 0;
 };
 
--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -78,7 +78,8 @@
               const Service& service,
               heatherlever::Instant now);
 
-  /// Sets the number of hosts that share servers' rate limits.
+  /// Sets the number of hosts that share servers' rate limits; 0 if it isn't
+  /// known.
   void set_host_count(int hosts) { options_.host_count = hosts; }
 
   /// The hosts that share the request rates of cold servers.
--- a/src/include/heathersteer/placement_options.h
+++ b/src/include/heathersteer/placement_options.h
@@ -29,8 +29,8 @@
   /// Time after a server first stated that it is leaving in which it still gets
   /// requests for which no other server is usable.
   heatherlever::Duration leaving_grace = std::chrono::seconds(2);
-  /// Number of hosts that send to the same servers.
-  int host_count = 1;
+  /// Number of hosts that send to the same servers; 0 while it isn't known.
+  int host_count = 0;
 };
 
 }  // namespace heathersteer
--- a/src/include/heathersteer/server_rate_limit.h
+++ b/src/include/heathersteer/server_rate_limit.h
@@ -43,7 +43,7 @@
              heatherlever::Instant now);
 
   /// Time until this host may send a request; 0 without a limit. `host_count`
-  /// hosts share the limit. `phase` in [0, 1) is this host's part of a token
+  /// hosts share the limit; 0 while it isn't known, and this host has no part. `phase` in [0, 1) is this host's part of a token
   /// when the limit becomes known, so that the hosts do not send together.
   heatherlever::Duration TimeToSend(heatherlever::Instant now,
                                     int host_count,
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -78,6 +78,12 @@
   return std::to_string(device()) + "-" + std::to_string(device());
 }
 
+// A host that sends a response counts itself and this one, if it knows the
+// number of hosts.
+bool KnowsHosts(const RelayResponse& response) {
+  return response.host_count > 1;
+}
+
 }  // namespace
 
 // A long-poll request that waits for an update.
@@ -205,7 +211,7 @@
   RelayResponse response;
   response.incarnation = incarnation_;
   response.age = now - servers_.known_at();
-  response.host_count = host_count_;
+  response.host_count = StatedHostCount();
   response.timeline = servers_.timeline();
   if (response.age + kMinAgeGain < query->list_age) {
     response.same_list = query->list_digest == changes_.digest();
@@ -220,7 +226,8 @@
 }
 
 void FleetAgent::OnPeerResponse(const RelayResponse& response) {
-  if (!hosts_known_ && response.host_count > host_count_) {
+  if (!hosts_known_ && KnowsHosts(response) &&
+      response.host_count > host_count_) {
     // This host may not be registered yet.
     SetHostCount(response.host_count + (registered_ ? 0 : 1));
     spdlog::info("{} hosts are registered, by another host",
@@ -237,6 +244,12 @@
   }
 }
 
+// Hosts that don't know the number state 1: those of builds that count
+// themselves as the only host divide by it.
+int FleetAgent::StatedHostCount() const {
+  return std::max(1, host_count_);
+}
+
 void FleetAgent::SetHostCount(int host_count) {
   host_count_ = host_count;
   listener_.on_host_count(host_count_);
@@ -483,10 +496,12 @@
   if (response.caller_endpoints) {
     followed_endpoints_ = *response.caller_endpoints;
   }
-  if (response.host_count != host_count_) {
-    SetHostCount(response.host_count);
+  if (KnowsHosts(response)) {
+    if (response.host_count != host_count_) {
+      SetHostCount(response.host_count);
+    }
+    ReadHostsIfChanged(response.host_count);
   }
-  ReadHostsIfChanged(response.host_count);
   if (response.limits) {
     ApplyLimits(*response.limits);
   }
@@ -710,7 +725,7 @@
       hosts_.IsLost(request.name, request.registration_version);
   response.timeline = servers_.timeline();
   response.age = now - servers_.known_at();
-  response.host_count = host_count_;
+  response.host_count = StatedHostCount();
   response.servers_sequence = changes_.sequence();
   response.operator_sequence = operator_sequence_;
   response.live_sequence = live_sequence_;
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -51,6 +51,7 @@
     options.host = host;
     options.region = region;
     options.domain = region + "-a";
+    options.host_count = 1;
     return options;
   }
 
@@ -282,6 +283,24 @@
   EXPECT_EQ(free.limited_for, milliseconds(0));
 }
 
+// A host that had just started took a whole limit.
+TEST_F(PlacementTest, LimitedServerGetsNothingWhileTheHostsAreNotCounted) {
+  Placement placement(Options("north"));
+  placement.set_host_count(0);
+  for (const auto& server : table_.OfService("proofs")) {
+    server->rate_limit.Observe(10, kNow);
+  }
+  for (int i = 0; i < 5; ++i) {
+    const auto choice =
+        placement.Choose(table_, Request("key"), kNow + seconds(i));
+    ASSERT_EQ(choice.server, nullptr);
+    EXPECT_GT(choice.limited_for, seconds(5));
+  }
+  placement.set_host_count(1);
+  placement.Choose(table_, Request("key"), kNow + seconds(5));
+  EXPECT_NE(Choose(placement, "key", kNow + seconds(6)), nullptr);
+}
+
 // Requests were queued for servers that could not take them in time.
 TEST_F(PlacementTest, TellsThatAllServersAreColdAndForHowLong) {
   const Placement placement(Options("north"));
--- a/src/libheathersteer/retry_budget.cc
+++ b/src/libheathersteer/retry_budget.cc
@@ -1,7 +1,5 @@
 #include "heathersteer/retry_budget.h"
 
-#include <algorithm>
-
 namespace heathersteer {
 namespace {
 
@@ -20,9 +18,9 @@
 
 bool RetryBudget::TryRetry(Instant now, int host_count) {
   Expire(now);
+  const double extra = host_count > 0 ? options_.extra / host_count : 0;
   const double allowed =
-      options_.ratio * static_cast<double>(requests_.size()) +
-      options_.extra / std::max(1, host_count);
+      options_.ratio * static_cast<double>(requests_.size()) + extra;
   if (static_cast<double>(retries_.size()) + 1 > kUsedShare * allowed) {
     return false;
   }
--- a/src/libheathersteer/retry_budget_test.cc
+++ b/src/libheathersteer/retry_budget_test.cc
@@ -44,6 +44,20 @@
   }
 }
 
+// A host that had just started took the whole of `extra`.
+TEST(RetryBudgetTest, UsesNothingOfExtraWhileTheHostsAreNotCounted) {
+  RetryBudget budget(kOptions);
+  for (int i = 0; i < 3; ++i) {
+    budget.CountRequest(seconds(1));
+    EXPECT_FALSE(budget.TryRetry(seconds(1), 0));
+  }
+  for (int i = 0; i < 7; ++i) {
+    budget.CountRequest(seconds(1));
+  }
+  EXPECT_TRUE(budget.TryRetry(seconds(1), 0));
+  EXPECT_FALSE(budget.TryRetry(seconds(1), 0));
+}
+
 TEST(RetryBudgetTest, AllowsRetriesAgainAfterTheWindow) {
   RetryBudget budget({.ratio = 0, .extra = 10});
   int granted = 0;
--- a/src/libheathersteer/server_rate_limit.cc
+++ b/src/libheathersteer/server_rate_limit.cc
@@ -75,7 +75,7 @@
 }
 
 double ServerRateLimit::HostPart(Instant now, int host_count) const {
-  const double equal_part = limit_ / std::max(1, host_count);
+  const double equal_part = host_count > 0 ? limit_ / host_count : 0;
   if (now - total_received_at_ > kMaxTotalAge || total_demand_ <= 0) {
     return equal_part;
   }
--- a/testsuite/gateway/rate_limit_test.py
+++ b/testsuite/gateway/rate_limit_test.py
@@ -124,15 +124,7 @@
         cold = self.backend("i-1", slots=100)
         self.store.put("servers", "i-1", {**cold.row(slots=100), "coldRemaining": "60000ms"})
         self.backend("i-2", slots=100)
-        respond_to_get = self.store.on_get
-
-        def refuse_registrations(handler):
-            if "table=heather-hosts" in handler.path:
-                self.store.respond(handler, 503, {})
-            else:
-                respond_to_get(handler)
-
-        self.store.on_get = refuse_registrations
+        self.refuse_registrations()
         host = self.started_host("h1")
         host.await_log("backend server i-2 ")
         host.await_log("registrations not read")
@@ -142,6 +134,24 @@
             time.sleep(0.02)
         self.assertLessEqual(len(cold.runs), 1)
 
+    def test_host_that_does_not_know_the_number_of_hosts_takes_no_part_of_a_limit(self):
+        def state_limit(request, connection):
+            limited.run(request)
+            return make_response(request, b"limited", extra="Server-Limit: 10\r\n")
+
+        limited = self.backend("i-1", state_limit)
+        self.refuse_registrations()
+        host = self.started_host("h1")
+        host.await_log("backend server i-1 ")
+        host.await_log("registrations not read")
+        statuses = []
+        for number in range(50):
+            statuses.append(host.request(request_id=f"id-{number}")[0])
+            time.sleep(0.02)
+        # The first response states the limit.
+        self.assertEqual([200] + 49 * [503], statuses)
+        self.assertEqual(1, len(limited.runs))
+
     def test_cold_server_gets_nothing_while_hosts_may_still_register(self):
         cold = self.cold_backend("i-1")
         self.backend("i-2", slots=100)
@@ -206,6 +216,18 @@
         self.started_host("h3", domain="d-b")
         follower.await_log("3 hosts share the rates of cold servers", timeout_s=2 * HOSTS_READ_S)
 
+    def refuse_registrations(self):
+        """Lets reads of the hosts' registrations fail."""
+        respond_to_get = self.store.on_get
+
+        def refuse(handler):
+            if "table=heather-hosts" in handler.path:
+                self.store.respond(handler, 503, {})
+            else:
+                respond_to_get(handler)
+
+        self.store.on_get = refuse
+
     def cold_backend(self, name):
         """A server that stays cold, with the times at which it got requests."""
         backend = self.backend(name, slots=1000)
