--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -52,6 +52,7 @@
     options.host = host;
     options.region = region;
     options.domain = region + "-a";
+    options.host_count = 1;
     return options;
   }
 
@@ -223,11 +224,17 @@
   cold.cold_until = kNow + seconds(30);
   std::vector<Placement> hosts;
   std::vector<ServerTable> tables(kHosts);
+  std::vector<HostLocation> locations;
   for (int i = 0; i < kHosts; ++i) {
-    hosts.emplace_back(Options("north", "host" + std::to_string(i)));
-    hosts.back().set_host_count(kHosts);
+    const PlacementOptions options =
+        Options("north", "host" + std::to_string(i));
+    locations.push_back({options.host, options.region, options.domain});
+    hosts.emplace_back(options);
     tables[i].Put(cold);
   }
+  for (Placement& host : hosts) {
+    host.cold_shares().SetHosts(locations, kNow);
+  }
   std::vector<Instant> arrivals;
   for (Instant now = kNow; now < kNow + seconds(20); now += milliseconds(20)) {
     for (int i = 0; i < kHosts; ++i) {
@@ -349,5 +356,44 @@
   EXPECT_EQ(choice.server->server.id, "north3");
 }
 
+// A host that had just started took a whole limit.
+TEST_F(PlacementTest, LimitedServerGetsNothingWhileTheHostsAreNotCounted) {
+  Placement placement(Options("north"));
+  placement.set_host_count(0);
+  for (const auto& server : table_.OfService("proofs")) {
+    server->rate_limit.Observe(10, kNow);
+  }
+  for (int i = 0; i < 5; ++i) {
+    const auto choice =
+        placement.Choose(table_, Request("key"), kNow + seconds(i));
+    ASSERT_EQ(choice.server, nullptr);
+    EXPECT_GT(choice.limited_for, seconds(5));
+  }
+  placement.set_host_count(1);
+  placement.Choose(table_, Request("key"), kNow + seconds(5));
+  EXPECT_NE(Choose(placement, "key", kNow + seconds(6)), nullptr);
+}
+
+// Requests were queued for servers that could not take them in time.
+TEST_F(PlacementTest, TellsThatAllServersAreColdAndForHowLong) {
+  const Placement placement(Options("north"));
+  for (int i = 0; i < kServersPerRegion; ++i) {
+    for (const std::string region : {"north", "south"}) {
+      BackendServer cold = MakeServer(region + std::to_string(i), region);
+      cold.cold_until = kNow + seconds(3 + i);
+      table_.Put(cold);
+    }
+  }
+  const auto limited = placement.Choose(table_, Request("key"), kNow);
+  EXPECT_EQ(limited.server, nullptr);
+  EXPECT_EQ(limited.limited_for, seconds(3));
+  EXPECT_TRUE(limited.limited_by_cold);
+  const auto later =
+      placement.Choose(table_, Request("key"), kNow + milliseconds(3500));
+  EXPECT_EQ(later.server->server.id.back(), '0');
+  EXPECT_EQ(later.limited_for, seconds(0));
+  EXPECT_FALSE(later.limited_by_cold);
+}
+
 }  // namespace
 }  // namespace heathersteer
