Callers of a deployment may wait longer, and servers may reject after a while

After a common stop of all hosts, requests are sent again after the caller's end.

A response later than 0.5 s after the time-out is counted as lost as before.

--- a/testsuite/deployment/caller.py
+++ b/testsuite/deployment/caller.py
@@ -30,8 +30,10 @@
 
 
 class Caller:
-    def __init__(self, draw):
-        self.draw = draw
+    """`patience_s` is how long a caller keeps a connection open after its time-out; an answer then is a loss like none."""
+
+    def __init__(self, draw, patience_s=ANSWER_SLACK_S):
+        self.draw, self.patience_s = draw, max(patience_s, ANSWER_SLACK_S)
         self.idle = collections.defaultdict(list)
         self.attempts = []
 
@@ -43,7 +45,7 @@
         self.attempts.append(attempt)
         connection = None
         try:
-            async with asyncio.timeout(kind["deadline_ms"] / 1000 + ANSWER_SLACK_S):
+            async with asyncio.timeout(kind["deadline_ms"] / 1000 + self.patience_s):
                 idle = self.idle[host]
                 if idle and self.draw.random() < 0.5:
                     connection, attempt.kept = idle.pop(), True
@@ -59,6 +61,8 @@
                 if fields.get("connection", "").lower() != "close":
                     idle.append(connection)
                     connection = None
+                if time.monotonic() - attempt.begin > kind["deadline_ms"] / 1000 + ANSWER_SLACK_S:
+                    raise TimeoutError
         except TimeoutError:
             attempt.status, attempt.problem = -1, "no answer in time"
         except (OSError, asyncio.IncompleteReadError) as problem:
--- a/testsuite/deployment/fleet_judgement.py
+++ b/testsuite/deployment/fleet_judgement.py
@@ -8,7 +8,8 @@
 
 def site_bounds(site):
     """Bounds of the settings of each host, with the figures of the site."""
-    return {**rig.BOUNDS, "budgetExtra": int(site["bounds"]["budget_slack"]), "coldSlack": int(site["bounds"]["cold_slack"])}
+    bounds = site["bounds"]
+    return {**rig.BOUNDS, "budgetExtra": int(bounds["budget_slack"]), "coldSlack": int(bounds["cold_slack"])}
 
 
 def seconds(text):
@@ -48,8 +49,8 @@
             unknown += owner is None
             detours += owner not in (None, hosts[arrival.request_id])
             arrival.sender = owner or hosts[arrival.request_id]
-        self.text = (f"{len(hosts)} requests, {len(arrivals)} arrivals, {unknown} of unknown sockets, {detours} from another "
-                     f"host than the caller's, longest stall of the servers {self.deployment.ticks.longest:.3f} s")
+        self.text = (f"{len(hosts)} requests, {len(arrivals)} arrivals, {unknown} of unknown sockets, {detours} from "
+                     f"another host than the caller's, longest stall of the servers {self.deployment.ticks.longest:.3f} s")
         return arrivals
 
     def crashes(self):
--- a/testsuite/deployment/herd_faults.py
+++ b/testsuite/deployment/herd_faults.py
@@ -26,6 +26,7 @@
                         help=f"all hosts are killed at once, and the store is away for {HERD_STORE_DOWN_S} s")
     parser.add_argument("--reject", type=float, nargs=3, metavar=("SERVERS", "REQUESTS", "SECONDS"),
                         help="a share of the servers rejects a share of its requests, with so much in Retry-After")
+    parser.add_argument("--reject-delay-s", type=float, default=0, help="time that a request waits before it is rejected")
 
 
 class HerdFaults:
@@ -39,7 +40,7 @@
     def reject(self):
         share, requests, seconds = self.options.reject
         for server in self.draw.sample(self.servers, round(share * len(self.servers))):
-            server.reject = (requests, seconds)
+            server.reject, server.reject_delay_s = (requests, seconds), self.options.reject_delay_s
 
     async def run(self, seconds):
         if self.options.reject:
--- a/testsuite/deployment/observed_server.py
+++ b/testsuite/deployment/observed_server.py
@@ -98,12 +98,13 @@
             fields.get(rig.REQUEST_ID.lower(), ""), server.name, server.service, connection.owner, ticks.before,
             time.monotonic(), None if time_left is None else float(time_left) / 1000)
         self.end = self.arrival.arrived + (self.arrival.time_left_s or float("inf"))
-        self.timer = None
+        # Of the end of the work, and of a rejection.
+        self.timer = self.rejection = None
 
 
 class ObservedServer(rig.Backend):
     """`cold` holds the service's cold_s and cold_x of the site; `reject` the share of requests to reject and the seconds
-    that Retry-After names then, if any."""
+    that Retry-After names then."""
 
     def __init__(self, case, store, ticks, owners, name, service, zone, slots, work_s, cold):
         self.store, self.ticks, self.owners, self.cold = store, ticks, owners, cold
@@ -111,7 +112,7 @@
         self.arrivals, self.cold_periods, self.down = [], [], []
         # (path, time) of requests that the server crashed under.
         self.crashes = []
-        self.reject = (0, 0)
+        self.reject, self.reject_delay_s = (0, 0), 0
         self.cold_until = 0
         self.is_silent = False
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
@@ -145,8 +146,7 @@
             connection.respond("200 OK", f"Heatherlever-Instance-Id: {self.name}\r\n"
                                          f"Heatherlever-Cold-Remaining: {cold_ms}\r\n")
         elif random.random() < self.reject[0]:
-            work.arrival.retry_after_s = self.reject[1]
-            connection.respond("503 Service Unavailable", f"{rig.NOT_EXECUTED}: 1\r\nRetry-After: {self.reject[1]:g}\r\n")
+            work.rejection = asyncio.get_running_loop().call_later(self.reject_delay_s, self.reject_now, work)
         elif self.running < self.slots:
             self.run(work)
         elif len(self.queue) < QUEUED_PER_SLOT * self.slots:
@@ -154,6 +154,11 @@
         else:
             connection.respond("503 Service Unavailable", f"{rig.NOT_EXECUTED}: 1\r\n")
 
+    def reject_now(self, work):
+        work.arrival.retry_after_s = self.reject[1]
+        work.connection.respond(
+            "503 Service Unavailable", f"{rig.NOT_EXECUTED}: 1\r\nRetry-After: {self.reject[1]:g}\r\n")
+
     def run(self, work):
         self.running += 1
         work.arrival.ran = True
@@ -192,6 +197,8 @@
             work.timer = None
             self.running -= 1
             self.run_next()
+        elif work.rejection:
+            work.rejection.cancel()
         elif work in self.queue:
             self.queue.remove(work)
 
--- a/testsuite/deployment/start_deployment.py
+++ b/testsuite/deployment/start_deployment.py
@@ -71,7 +71,7 @@
                     self.backends.append(backend)
                     self.store.put("servers", name, backend.row())
         self.shared_controls = []
-        self.caller = Caller(random.Random(options.seed))
+        self.caller = Caller(random.Random(options.seed), options.caller_patience_s)
         self.faults = Faults(self.hosts, self.store, self.case.record, random.Random(options.seed))
         self.herd = herd_faults.HerdFaults(options, self.faults, self.backends, random.Random(options.seed))
         self.ends = collections.Counter()
@@ -299,6 +299,8 @@
                         help="stops, kills, pauses and reloads of hosts and downtime of the store during the load")
     parser.add_argument("--all-at-once", choices=("terminate", "kill", "hang_up", "pause"),
                         help="fault of all hosts at once in the middle of the load")
+    parser.add_argument("--caller-patience-s", type=float, default=0,
+                        help="time after their time-out for which callers keep connections open")
     parser.add_argument("--crash-s", type=float, help="interval of a request that crashes each server that runs it")
     herd_faults.add_options(parser)
     parser.add_argument("--work-share", type=float, default=1 / 3,
