--- a/testsuite/deployment/fleet_rules.py
+++ b/testsuite/deployment/fleet_rules.py
@@ -220,7 +220,7 @@
         by_pair = collections.defaultdict(list)
         for arrival in self.arrivals:
             by_pair[arrival.sender, arrival.server].append(arrival)
-        worst = Finding("BUDGET retry-after", 0, MAX_REQUESTS_IN_RETRY_AFTER, 0, "")
+        worst = Finding("BUDGET retry-after", 0, MAX_REQUESTS_IN_RETRY_AFTER, 0, "none")
         inside, pairs = set(), 0
         for (sender, server), arrivals in by_pair.items():
             most = 0
--- a/testsuite/deployment/judgement_test.py
+++ b/testsuite/deployment/judgement_test.py
@@ -1,11 +1,13 @@
 """What counts as a breach of a deployment under faults."""
 
+import asyncio
 import collections
 import random
 import types
 import unittest
+import unittest.mock
 
-from caller import Attempt, Caller
+from caller import ANSWER_SLACK_S, Attempt, Caller
 from faults import Faults
 
 
@@ -66,6 +68,24 @@
     def test_response_names_its_request(self):
         self.assertEqual(self.breaches(status=200, mixed=True), ["mixed"])
 
+    def test_answer_that_a_patient_caller_gets_too_late_is_a_loss(self):
+        attempt = asyncio.run(self.send_to_late_host())
+        self.assertEqual((-1, "no answer in time"), (attempt.status, attempt.problem))
+
+    @staticmethod
+    async def send_to_late_host():
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(2 * ANSWER_SLACK_S)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        kind = {"name": "reads", "kind": "safe", "method": "GET", "deadline_ms": 0, "things": 1}
+        host = unittest.mock.Mock(front=server.sockets[0].getsockname())
+        attempt = await Caller(random.Random(1), patience_s=60).send(kind, host, "/", b"")
+        server.close()
+        return attempt
+
 
 if __name__ == "__main__":
     unittest.main()
