A 502 carries no Retry-After of a server

A backend server's 503 after a run is passed on as 502, as the request may have run, but with the server's Retry-After. Callers of all hosts then waited for one server, up to a third of their time left, though the field concerns this host only and another host may serve the next attempt.

--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "heathergate/gateway.h"
 #include "heathergate/http_exchange.h"
@@ -686,6 +687,13 @@
   }
   AddFields(result.head, changed ? gateway_.options_.names.signature : "",
             response);
+  if (changed) {
+    // The server told this host when to ask it again. Other hosts may serve the
+    // caller before.
+    std::erase_if(response.fields, [](const HeaderField& field) {
+      return SameName(field.name, kRetryAfter);
+    });
+  }
   return response;
 }
 
--- a/testsuite/gateway/server_retry_after_test.py
+++ b/testsuite/gateway/server_retry_after_test.py
@@ -152,6 +152,14 @@
         self.assertEqual({200}, set(self.send(host)))
         self.assertEqual(1, len(asking.seen))
 
+    def test_caller_of_a_request_that_may_have_run_is_not_told_to_wait_for_one_server(self):
+        answer = turn_away(LONG_BACKOFF).replace(f"{NOT_EXECUTED}: 1".encode(), f"{SEAL}: sealed".encode())
+        backend = self.backend("i-1", lambda request, connection: answer)
+        host, = self.hosts_of(1, backend)
+        status, headers, _ = host.request("/w/1", "POST", b"x")
+        self.assertEqual(502, status)
+        self.assertIsNone(headers["Retry-After"])
+
     def test_other_answers_and_malformed_values_change_nothing(self):
         answers = [turn_away(text) for text in ("-1", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "0", "1e3", "")]
         answers.append(turn_away(LONG_BACKOFF).replace(b"503 Service Unavailable", b"429 Too Many Requests"))
