--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -53,7 +53,8 @@
 class Host:
     """One entry host process. `await_log(text)` waits for a log line that contains the text and returns it."""
 
-    def __init__(self, name, store_port, domain="d-a", address="127.0.0.1", seeds=(), bounds=None, rules=None):
+    def __init__(self, name, store_port, domain="d-a", address="127.0.0.1", seeds=(), bounds=None, rules=None,
+                 program=None):
         self.name = name
         self.caller_port, self.ready_port, self.directory_port, self.control_port, self.internal_port, self.metrics_port = (
             free_ports(6))
@@ -71,7 +72,7 @@
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.write_settings()
-        self.arguments = [PROGRAM, "--settings", self.file.name, "--metrics-port", str(self.metrics_port)]
+        self.arguments = [program or PROGRAM, "--settings", self.file.name, "--metrics-port", str(self.metrics_port)]
         if rules is not None:
             self.arguments += ["--rules", rules]
         self.lines = queue.Queue()
