Pauses of the event loop are logged and counted

Neither logs nor metrics told whether a host had stood still, so that requests sent too late could not be distinguished from other causes.

It needs no further wake-ups. heather_pauses_total and heather_paused_ms_total count them.

Test: a host that was stopped for 2 s writes the line and counts one pause.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -164,6 +164,7 @@
   void Tick();
 
   FleetSource& source_;
+  std::shared_ptr<PauseMonitor> pauses_;
   FleetListener listener_;
   const heathersteer::PropagationTiming timing_;
   std::unique_ptr<StoreReader> reader_;
--- a/src/include/heathergate/fleet_options.h
+++ b/src/include/heathergate/fleet_options.h
@@ -3,11 +3,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 
 #include "heatherlever/instant.h"
 
 namespace heathergate {
 
+class PauseMonitor;
+
 /// Options of a FleetAgent.
 struct FleetOptions {
   /// Maximum time from a change in the store until this host acts on it.
@@ -15,6 +18,8 @@
   /// Last of the ports that the relay server may listen at; the first one is
   /// in the host's registration.
   std::uint16_t last_relay_port = 0;
+  /// Notices pauses of the event loop; the agent is its periodic timer.
+  std::shared_ptr<PauseMonitor> pauses;
 };
 
 }  // namespace heathergate
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -44,6 +44,7 @@
 class StartupQueue;
 class ForwardedRequest;
 class HttpExchange;
+class PauseMonitor;
 struct HttpResponse;
 
 /// Forwards callers' requests to backend servers according to the configuration
@@ -124,6 +125,8 @@
   /// Number of backend servers whose rate limit is in force.
   std::size_t limited_servers() const;
 
+  const PauseMonitor& pauses() const { return *pauses_; }
+
   const GatewayCounters& counters() const { return counters_; }
 
   /// Times from the arrival of a request to its delivered response, by rank.
@@ -166,6 +169,7 @@
 
   heathernet::EventLoop& loop_;
   GatewayOptions options_;
+  std::shared_ptr<PauseMonitor> pauses_;
   HttpClient client_;
   heathersteer::Placement placement_;
   heathersteer::ServerTable servers_;
--- a/src/include/heathergate/gateway_options.h
+++ b/src/include/heathergate/gateway_options.h
@@ -12,6 +12,7 @@
 namespace heathergate {
 
 class BufferBudget;
+class PauseMonitor;
 
 /// Options of a Gateway.
 struct GatewayOptions {
@@ -28,6 +29,8 @@
   int max_detoured = 64;
   /// Counts the responses that are being read; nullptr for no common limit.
   std::shared_ptr<BufferBudget> buffers;
+  /// Notices pauses of the event loop; nullptr for a monitor of its own.
+  std::shared_ptr<PauseMonitor> pauses;
   /// Seed of the random numbers: jitter of Retry-After, throttling.
   std::uint64_t seed = 0;
 };
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -10,6 +10,7 @@
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
 #include "heathergate/listen_address.h"
+#include "heathergate/pause_monitor.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/milliseconds.h"
 #include "libheathergate/limit_exchange.h"
@@ -42,7 +43,6 @@
 constexpr Duration kResponseSlack = std::chrono::milliseconds(300);
 // Delay before the next host is followed after a failure.
 constexpr Duration kFollowRetryDelay = std::chrono::milliseconds(20);
-constexpr Duration kTickInterval = std::chrono::milliseconds(150);
 
 // Interval between two exchanges of limits and demand while there are limits.
 constexpr Duration kLimitsInterval = std::chrono::milliseconds(450);
@@ -89,6 +89,7 @@
                        const FleetOptions& options,
                        FleetListener listener)
     : source_(source),
+      pauses_(options.pauses),
       listener_(std::move(listener)),
       timing_(
           heathersteer::PropagationTiming::Within(options.propagation_bound)),
@@ -844,6 +845,7 @@
 }
 
 void FleetAgent::Tick() {
+  pauses_->Tick();
   const Instant now = EventLoop::Now();
   ExchangeLimits();
   if (operator_state_.Expire(now)) {
@@ -865,7 +867,7 @@
     reader_->EnsureReading();
   }
   peer_query_->SetActive(IsStale() && !leaving_);
-  tick_timer_.Start(kTickInterval, [this] { Tick(); });
+  tick_timer_.Start(PauseMonitor::kTickInterval, [this] { Tick(); });
 }
 
 void FleetAgent::set_ready(bool ready) {
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -10,6 +10,7 @@
 #include "heathergate/gateway.h"
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
+#include "heathergate/pause_monitor.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/milliseconds.h"
 #include "heathersteer/rejection.h"
@@ -268,6 +269,7 @@
 }
 
 bool ForwardedRequest::TryPlace() {
+  gateway_.pauses_->Check();
   const Instant now = EventLoop::Now();
   if (gateway_.cut_off()) {
     // It was queued before this host was cut off.
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -10,6 +10,7 @@
 
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
+#include "heathergate/pause_monitor.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/rejection.h"
 #include "heathersteer/server_state.h"
@@ -48,6 +49,8 @@
 Gateway::Gateway(EventLoop& loop, GatewayOptions options)
     : loop_(loop),
       options_(std::move(options)),
+      pauses_(options_.pauses != nullptr ? options_.pauses
+                                         : std::make_shared<PauseMonitor>()),
       client_(loop, ClientOptions(options_)),
       placement_(options_.placement),
       shift_limiter_(options_.max_shift_change),
--- a/src/libheathergate/metrics_text.cc
+++ b/src/libheathergate/metrics_text.cc
@@ -4,6 +4,8 @@
 #include <sstream>
 
 #include "heathergate/gateway.h"
+#include "heathergate/pause_monitor.h"
+#include "heathersteer/milliseconds.h"
 #include "heathersteer/traffic_config.h"
 
 namespace heathergate {
@@ -69,6 +71,11 @@
        << "\n";
   text << "# TYPE heather_quarantined_requests gauge\n";
   text << "heather_quarantined_requests " << gateway.quarantined() << "\n";
+  text << "# TYPE heather_pauses_total counter\n";
+  text << "heather_pauses_total " << gateway.pauses().pauses() << "\n";
+  text << "# TYPE heather_paused_ms_total counter\n";
+  text << "heather_paused_ms_total "
+       << heathersteer::Milliseconds(gateway.pauses().paused_time()) << "\n";
   text << "# TYPE heather_configuration_version gauge\n";
   text << "heather_configuration_version "
        << (gateway.config() == nullptr ? 0 : gateway.config()->version) << "\n";
--- a/testsuite/gateway/paused_host_test.py
+++ b/testsuite/gateway/paused_host_test.py
@@ -77,6 +77,15 @@
             connections = self.send(host)
         self.assertEqual({200}, {connection.getresponse().status for connection in connections})
 
+    def test_pause_is_logged_and_counted(self):
+        _, (host,) = self.start("h1")
+        self.assertEqual(0, host.metric("heather_pauses_total"))
+        with paused(host, seconds=PAUSE_S):
+            pass
+        host.await_log("the event loop did not run for ")
+        self.assertEqual(1, host.metric("heather_pauses_total"))
+        self.assertGreaterEqual(host.metric("heather_paused_ms_total"), PAUSE_S * 1000)
+
     def start(self, *names, old=(), **settings):
         """Returns the server to be drained and the hosts."""
         if settings:
