Requests are not sent after their deadline, or with more time than is left

Cause: the time that is left was computed when a server was chosen, at least 1 ms, and counted from the moment at which a request was read. A request that had waited in a socket, or for a connection, named all of it again. After a pause, responses in sockets come before overdue timers, so a retry went out though the deadline had passed.

Change: a request is ended, not sent, at or after its deadline. HttpClient::Send() takes a function that makes the head when it is written; it makes none if the deadline has passed or the loop was paused since the server was chosen, and the request is placed again. Requests read within 1 s after a pause count as received when their bytes arrived (tcpi_last_data_recv), not before the pause.

--- a/src/include/heathergate/http_call.h
+++ b/src/include/heathergate/http_call.h
@@ -33,6 +33,8 @@
   /// Whether the peer could not be connected to, or its kernel stopped
   /// acknowledging.
   bool unreachable = false;
+  /// Whether the caller of HttpClient::Send() had no head for it any more.
+  bool withdrawn = false;
   /// Error text for logs; empty unless the call failed.
   std::string error;
 };
--- a/src/include/heathergate/http_client.h
+++ b/src/include/heathergate/http_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
   std::uint16_t port = 0;
 };
 
+/// Makes the complete head of a request, including the empty line, when it is
+/// written; std::nullopt if the request is not to be sent any more.
+using HeadMaker = std::function<std::optional<std::string>()>;
+
 /// Timeouts and limits of a client's connections.
 struct HttpClientOptions {
   heatherlever::Duration connect_timeout = std::chrono::milliseconds(300);
@@ -69,6 +74,16 @@
                                  const std::string& echo,
                                  HttpCall::Done done);
 
+  /// As above, with a head that is made when a connection is available. If
+  /// there is none any more, the call ends as CallOutcome::kNotSent. `method`
+  /// is the one in the head.
+  std::shared_ptr<HttpCall> Send(const HttpPeer& peer,
+                                 const std::string& method,
+                                 HeadMaker make_head,
+                                 std::shared_ptr<const std::string> body,
+                                 const std::string& echo,
+                                 HttpCall::Done done);
+
   /// Closes the idle connections of a peer.
   void CloseIdle(const std::string& peer_name);
 
--- a/src/include/heathergate/http_server.h
+++ b/src/include/heathergate/http_server.h
@@ -16,6 +16,7 @@
 
 class BufferBudget;
 class HttpExchange;
+class PauseMonitor;
 struct ListenAddress;
 
 /// An HTTP/1.1 server on one address, with persistent connections. If a client
@@ -39,6 +40,10 @@
   /// not executed.
   void SetBufferBudget(std::shared_ptr<BufferBudget> buffers);
 
+  /// Sets the monitor by which requests that waited while the event loop was
+  /// paused count as received when they arrived.
+  void SetPauseMonitor(std::shared_ptr<PauseMonitor> pauses);
+
   /// Closes each connection after its next response.
   void StartLeaving();
 
--- a/src/include/heathergate/pause_monitor.h
+++ b/src/include/heathergate/pause_monitor.h
@@ -2,6 +2,8 @@
 #define HEATHERGATE_PAUSE_MONITOR_H_
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 
 #include "heatherlever/instant.h"
 #include "heathersteer/pause_detector.h"
@@ -23,6 +25,13 @@
   /// End of the last pause; 0 before the first one.
   heatherlever::Instant ended_at() const { return detector_.ended_at(); }
 
+  /// Returns when bytes arrived that are read now. `time_since_input` is only
+  /// called if they may have waited during a pause; it returns the time since
+  /// they arrived, if that is known.
+  heatherlever::Instant ArrivalTime(
+      const std::function<std::optional<heatherlever::Duration>()>&
+          time_since_input);
+
   /// Number of pauses since the start, and the time of all together.
   std::uint64_t pauses() const { return pauses_; }
   heatherlever::Duration paused_time() const { return paused_time_; }
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -119,6 +119,9 @@
 }
 
 void ForwardedRequest::Place() {
+  if (EndExpired()) {
+    return;
+  }
   if (gateway_.cut_off()) {
     Detour();
     return;
@@ -189,16 +192,15 @@
   const DetourField field{
       .attempts_left = route_.max_attempts - policy_.sends(),
       .config_version = config_->version};
-  call_ = gateway_.client_.Send(
-      {"host " + host.name, host.caller_endpoint.substr(0, colon),
-       static_cast<std::uint16_t>(port)},
-      MakeHead({gateway_.options_.names.detour, field.Format()}),
-      exchange_->shared_body(), id_,
-      [self = weak_from_this(), name = host.name](CallResult result) {
-        if (const auto request = self.lock()) {
-          request->OnDetourDone(name, std::move(result));
-        }
-      });
+  call_ =
+      SendTo({"host " + host.name, host.caller_endpoint.substr(0, colon),
+              static_cast<std::uint16_t>(port)},
+             {gateway_.options_.names.detour, field.Format()},
+             [self = weak_from_this(), name = host.name](CallResult result) {
+               if (const auto request = self.lock()) {
+                 request->OnDetourDone(name, std::move(result));
+               }
+             });
 }
 
 void ForwardedRequest::OnDetourDone(const std::string& host,
@@ -208,6 +210,11 @@
   if (ended_) {
     return;
   }
+  if (result.withdrawn) {
+    detour_hosts_.pop_back();
+    Place();
+    return;
+  }
   const bool broken = ClassifyResult(result) == AttemptOutcome::kBroken;
   if (result.outcome == CallOutcome::kAnswered && !broken &&
       result.head.Find(gateway_.options_.names.detour) == nullptr) {
@@ -270,6 +277,9 @@
 
 bool ForwardedRequest::TryPlace() {
   gateway_.pauses_->Check();
+  if (EndExpired()) {
+    return false;
+  }
   const Instant now = EventLoop::Now();
   if (gateway_.cut_off()) {
     // It was queued before this host was cut off.
@@ -346,20 +356,37 @@
     ++gateway_.counters_.limited_sends;
   }
   const heathersteer::BackendServer& target = server_->server;
-  // A timer or the caller may end the request while the call is in flight, so
-  // the call holds no strong reference to it.
-  call_ = gateway_.client_.Send(
-      {target.id, target.address, target.port},
-      MakeHead({gateway_.options_.names.target_server, target.id}),
-      exchange_->shared_body(), id_,
-      [self = weak_from_this()](CallResult result) {
-        if (const auto request = self.lock()) {
-          request->OnCallDone(std::move(result));
-        }
-      });
-}
-
-std::string ForwardedRequest::MakeHead(const HeaderField& target) const {
+  call_ = SendTo({target.id, target.address, target.port},
+                 {gateway_.options_.names.target_server, target.id},
+                 [self = weak_from_this()](CallResult result) {
+                   if (const auto request = self.lock()) {
+                     request->OnCallDone(std::move(result));
+                   }
+                 });
+}
+
+// A timer or the caller may end the request while the call is in flight, so the
+// call holds no strong reference to it.
+std::shared_ptr<HttpCall> ForwardedRequest::SendTo(const HttpPeer& peer,
+                                                   HeaderField target,
+                                                   HttpCall::Done done) {
+  return gateway_.client_.Send(
+      peer, exchange_->head().method,
+      [self = weak_from_this(),
+       target = std::move(target)]() -> std::optional<std::string> {
+        const auto request = self.lock();
+        return request == nullptr ? std::nullopt : request->MakeHead(target);
+      },
+      exchange_->shared_body(), id_, std::move(done));
+}
+
+std::optional<std::string> ForwardedRequest::MakeHead(
+    const HeaderField& target) const {
+  gateway_.pauses_->Check();
+  const Duration left = deadline_ - EventLoop::Now();
+  if (left <= Duration(0) || gateway_.pauses_->ended_at() > sent_at_) {
+    return std::nullopt;
+  }
   const HeaderNames& names = gateway_.options_.names;
   const HttpHead& head = exchange_->head();
   const std::string* connection = head.Find("Connection");
@@ -373,7 +400,6 @@
     }
     text += field.name + ": " + field.value + "\r\n";
   }
-  const Duration left = deadline_ - EventLoop::Now();
   text += names.time_left + ": " +
           std::to_string(std::max<std::int64_t>(1, Milliseconds(left))) +
           "\r\n";
@@ -388,6 +414,13 @@
 
 void ForwardedRequest::OnCallDone(CallResult result) {
   call_ = nullptr;
+  if (result.withdrawn) {
+    ReleaseServer();
+    if (!ended_) {
+      Place();
+    }
+    return;
+  }
   const AttemptOutcome outcome = ClassifyResult(result);
   UpdateServerHealth(result, outcome);
   tried_.push_back(server_->server.id);
@@ -606,6 +639,11 @@
 
 void ForwardedRequest::Retry(CallResult result) {
   const Instant now = EventLoop::Now();
+  if (now >= deadline_) {
+    KeepFailure(std::move(result));
+    OnDeadline();
+    return;
+  }
   if (gateway_.Budget(service_.name).TryRetry(now, gateway_.host_count_)) {
     ++gateway_.counters_.retries;
     KeepFailure(std::move(result));
@@ -715,6 +753,14 @@
   Fail(kStatusGatewayTimeout, "deadline passed");
 }
 
+bool ForwardedRequest::EndExpired() {
+  if (EventLoop::Now() < deadline_) {
+    return false;
+  }
+  OnDeadline();
+  return true;
+}
+
 void ForwardedRequest::OnAbandoned() {
   ++gateway_.counters_.abandoned;
   Log(0, "client left");
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -26,6 +26,7 @@
 
 class Gateway;
 class HttpExchange;
+struct HttpPeer;
 
 /// Reason that is logged for requests that a stopping host ends.
 inline constexpr const char* kStoppingReason = "the host is stopping";
@@ -65,7 +66,12 @@
   // Ends the request, for which no server was found.
   void EndUnplaced(const char* reason);
   void Send(std::shared_ptr<heathersteer::ServerState> server);
-  std::string MakeHead(const HeaderField& target) const;
+  // Returns a head with the time that is left, unless none is left or the event
+  // loop was paused since the server was chosen.
+  std::optional<std::string> MakeHead(const HeaderField& target) const;
+  std::shared_ptr<HttpCall> SendTo(const HttpPeer& peer,
+                                   HeaderField target,
+                                   HttpCall::Done done);
   void OnCallDone(CallResult result);
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
@@ -96,6 +102,8 @@
   // Passes on the failure of a server if there is one, else `status`.
   void Fail(int status, const char* reason);
   void OnDeadline();
+  // Ends the request if its deadline has passed. Returns whether it has.
+  bool EndExpired();
   void OnAbandoned();
   void Finish(HttpResponse response, const char* reason);
   void End();
--- a/src/libheathergate/http_client.cc
+++ b/src/libheathergate/http_client.cc
@@ -11,6 +11,8 @@
 
 using heathernet::EventLoop;
 
+constexpr const char* kHeadMethod = "HEAD";
+
 }  // namespace
 
 HttpClient::HttpClient(EventLoop& loop, HttpClientOptions options)
@@ -37,11 +39,28 @@
     std::shared_ptr<const std::string> body,
     const std::string& echo,
     HttpCall::Done done) {
+  const std::string method = head.substr(0, head.find(' '));
+  return Send(
+      peer, method, [head = std::move(head)] { return std::optional(head); },
+      std::move(body), echo, std::move(done));
+}
+
+std::shared_ptr<HttpCall> HttpClient::Send(
+    const HttpPeer& peer,
+    const std::string& method,
+    HeadMaker make_head,
+    std::shared_ptr<const std::string> body,
+    const std::string& echo,
+    HttpCall::Done done) {
   auto call = std::make_shared<HttpCall>(std::move(done));
-  OutgoingRequest request{std::move(head), std::move(body), echo};
+  OutgoingRequest request{.is_head_method = method == kHeadMethod,
+                          .make_head = std::move(make_head),
+                          .head = {},
+                          .body = std::move(body),
+                          .echo = echo};
   // The response to an earlier request may still come, and is framed by another
   // method.
-  const auto idle = request.IsHead() ? nullptr : TakeIdle(peer.name);
+  const auto idle = request.is_head_method ? nullptr : TakeIdle(peer.name);
   if (idle != nullptr) {
     idle->Reuse(call, std::move(request));
     return call;
--- a/src/libheathergate/http_client_test.cc
+++ b/src/libheathergate/http_client_test.cc
@@ -10,9 +10,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "heathergate/http_exchange.h"
+#include "heathergate/http_server.h"
+#include "heathergate/http_status.h"
+#include "heathergate/listen_address.h"
 #include "heathernet/event_loop.h"
 
 namespace heathergate {
@@ -145,6 +150,51 @@
   EXPECT_EQ(sent, 0) << "after " << kManyCalls - left << " calls";
 }
 
+class WithdrawnCallTest : public testing::Test {
+ protected:
+  CallResult Send(const std::optional<std::string>& head) {
+    CallResult result;
+    bool returned = false;
+    const auto call = client_.Send(
+        {"peer", "127.0.0.1", server_.port()}, "GET", [&] { return head; },
+        std::make_shared<const std::string>(), "",
+        [&](CallResult ended) {
+          EXPECT_TRUE(returned);
+          result = std::move(ended);
+          loop_.Stop();
+        });
+    returned = true;
+    loop_.Run();
+    return result;
+  }
+
+  EventLoop loop_;
+  int requests_ = 0;
+  HttpServer server_{loop_,
+                     {.purpose = "test", .address = "127.0.0.1"},
+                     [this](const std::shared_ptr<HttpExchange>& exchange) {
+                       ++requests_;
+                       exchange->Respond(HttpResponse::Of(kStatusOk));
+                     }};
+  HttpClient client_{loop_, {}};
+};
+
+TEST_F(WithdrawnCallTest, NothingIsSentOnANewConnection) {
+  const CallResult result = Send(std::nullopt);
+  EXPECT_EQ(result.outcome, CallOutcome::kNotSent);
+  EXPECT_TRUE(result.withdrawn);
+  EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(WithdrawnCallTest, NothingIsSentOnAKeptConnection) {
+  EXPECT_EQ(Send(kHead).outcome, CallOutcome::kAnswered);
+  const CallResult result = Send(std::nullopt);
+  EXPECT_EQ(result.outcome, CallOutcome::kNotSent);
+  EXPECT_TRUE(result.withdrawn);
+  EXPECT_EQ(client_.opened(), 1U);
+  EXPECT_EQ(requests_, 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(UnusablePeers,
                          HttpClientTest,
                          testing::ValuesIn(kAddresses),
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -109,7 +109,7 @@
   call_ = std::move(call);
   call_->connection_ = shared_from_this();
   request_ = std::move(request);
-  head_request_ = request_.IsHead();
+  head_request_ = request_.is_head_method;
   ResetReader();
 }
 
@@ -121,6 +121,13 @@
 }
 
 void HttpConnection::Write() {
+  std::optional<std::string> head =
+      std::exchange(request_.make_head, nullptr)();
+  if (!head) {
+    Withdraw();
+    return;
+  }
+  request_.head = *std::move(head);
   // async_write may send part of the request at once.
   call_->sent_ = true;
   writing_ = true;
@@ -140,6 +147,14 @@
       });
 }
 
+void HttpConnection::Withdraw() {
+  withdrawn_ = true;
+  // The call's owner stores it once HttpClient::Send() has returned.
+  loop_.Post([self = shared_from_this()] {
+    self->Fail("the request is not to be sent any more");
+  });
+}
+
 // A peer may respond and end the connection before it has read the whole
 // request. A response that ends with the connection isn't complete then.
 void HttpConnection::OnWriteFailed(std::error_code error) {
@@ -293,6 +308,7 @@
   result.outcome = call->sent_ ? CallOutcome::kBroken : CallOutcome::kNotSent;
   result.ended_by_peer = ended_by_peer_;
   result.unreachable = unreachable_;
+  result.withdrawn = withdrawn_;
   result.error = error;
   call->Finish(std::move(result));
 }
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -20,12 +20,13 @@
 
 /// A request of an HttpConnection.
 struct OutgoingRequest {
+  bool is_head_method = false;
+  HeadMaker make_head;
+  /// Empty until it is written.
   std::string head;
   std::shared_ptr<const std::string> body;
   /// Value of the header that the response echoes.
   std::string echo;
-
-  bool IsHead() const { return head.starts_with("HEAD "); }
 };
 
 /// One connection of an HttpClient: opened for a call and reused for later
@@ -55,6 +56,7 @@
   void ResetReader();
   void OnConnected(std::error_code error);
   void Write();
+  void Withdraw();
   void OnWriteFailed(std::error_code error);
   void AwaitInput();
   void ReadInput();
@@ -84,6 +86,7 @@
   bool unexpected_input_ = false;
   bool ended_by_peer_ = false;
   bool unreachable_ = false;
+  bool withdrawn_ = false;
   heatherlever::Instant idle_since_{0};
   heatherlever::Duration idle_timeout_{0};
 };
--- a/src/libheathergate/http_server.cc
+++ b/src/libheathergate/http_server.cc
@@ -13,6 +13,7 @@
 #include "heathergate/buffer_budget.h"
 #include "heathergate/http_exchange.h"
 #include "heathergate/listen_address.h"
+#include "heathergate/pause_monitor.h"
 #include "heathergate/timer.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/milliseconds.h"
@@ -152,12 +153,16 @@
   void set_buffers(std::shared_ptr<BufferBudget> buffers) {
     buffers_ = std::move(buffers);
   }
+  void set_pauses(std::shared_ptr<PauseMonitor> pauses) {
+    pauses_ = std::move(pauses);
+  }
 
   const heathersteer::CallerLimits& limits() const override { return limits_; }
   bool leaving() const override { return leaving_; }
   const std::shared_ptr<BufferBudget>& buffers() const override {
     return buffers_;
   }
+  PauseMonitor* pauses() const override { return pauses_.get(); }
   void Handle(std::shared_ptr<HttpExchange> exchange) override {
     handler_(std::move(exchange));
   }
@@ -241,6 +246,7 @@
   std::shared_ptr<BufferBudget> buffers_ =
       std::make_shared<BufferBudget>(kDefaultMaxBufferedBytes,
                                      kDefaultMaxRequestBytes);
+  std::shared_ptr<PauseMonitor> pauses_;
   bool leaving_ = false;
   bool shut_down_ = false;
 };
@@ -264,6 +270,10 @@
   impl_->set_buffers(std::move(buffers));
 }
 
+void HttpServer::SetPauseMonitor(std::shared_ptr<PauseMonitor> pauses) {
+  impl_->set_pauses(std::move(pauses));
+}
+
 void HttpServer::StartLeaving() {
   impl_->set_leaving();
 }
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "heathergate/http_status.h"
+#include "heathergate/pause_monitor.h"
 #include "heathernet/event_loop.h"
 #include "libheathergate/sent_bytes.h"
 #include "libheathergate/socket_options.h"
@@ -213,7 +214,7 @@
   close_after_write_ = !reader_.head().keep_alive;
   accepts_interim_ = reader_.head().accepts_interim;
   exchange_ = std::make_shared<HttpExchange>(
-      std::move(reader_.head()), std::move(reader_.body()), EventLoop::Now(),
+      std::move(reader_.head()), std::move(reader_.body()), ArrivalTime(),
       [self = weak_from_this()](HttpResponse response) {
         if (const auto session = self.lock()) {
           session->Reply(std::move(response));
@@ -228,6 +229,13 @@
   owner_.Handle(exchange_);
 }
 
+heatherlever::Instant HttpSession::ArrivalTime() {
+  PauseMonitor* pauses = owner_.pauses();
+  return pauses == nullptr
+             ? EventLoop::Now()
+             : pauses->ArrivalTime([this] { return TimeSinceInput(socket_); });
+}
+
 bool HttpSession::CheckPeer() {
   if (closed_) {
     return false;
--- a/src/libheathergate/http_session.h
+++ b/src/libheathergate/http_session.h
@@ -23,6 +23,7 @@
 namespace heathergate {
 
 class BufferBudget;
+class PauseMonitor;
 class SessionOwner;
 
 /// One connection of an HttpServer.
@@ -54,6 +55,7 @@
   void Parse();
   void OnReadEnd(std::error_code error);
   void Dispatch();
+  heatherlever::Instant ArrivalTime();
   bool CheckPeer();
   void ProbePeer();
   void AwaitProbe();
@@ -114,6 +116,8 @@
   virtual const heathersteer::CallerLimits& limits() const = 0;
   virtual bool leaving() const = 0;
   virtual const std::shared_ptr<BufferBudget>& buffers() const = 0;
+  /// nullptr if requests count as arrived when they are read.
+  virtual PauseMonitor* pauses() const = 0;
   virtual void Handle(std::shared_ptr<HttpExchange> exchange) = 0;
   virtual void Remove(const std::shared_ptr<HttpSession>& session) = 0;
 };
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <asio/buffer.hpp>
 #include <cerrno>
+#include <cstddef>
 #include <cstdint>
 
 namespace heathergate {
@@ -86,6 +87,20 @@
              sizeof(filter));
 }
 
+std::optional<heatherlever::Duration> TimeSinceInput(
+    asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  constexpr std::size_t kMinSize = offsetof(tcp_info, tcpi_last_data_recv) +
+                                   sizeof(info.tcpi_last_data_recv);
+  if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) !=
+          0 ||
+      size < kMinSize) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 SocketInput ReadAvailable(asio::ip::tcp::socket& socket) {
   static std::array<char, kReadBufferBytes> buffer;
   SocketInput input;
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -2,6 +2,7 @@
 #define LIBHEATHERGATE_SOCKET_OPTIONS_H_
 
 #include <asio/ip/tcp.hpp>
+#include <optional>
 #include <string_view>
 #include <system_error>
 
@@ -45,6 +46,11 @@
 /// handshakes that have begun still end. Peers ask again a second later.
 void DropNewConnections(asio::ip::tcp::acceptor& acceptor);
 
+/// Time since the last bytes have arrived from the peer, whether they were read
+/// or not; std::nullopt if the kernel doesn't tell.
+std::optional<heatherlever::Duration> TimeSinceInput(
+    asio::ip::tcp::socket& socket);
+
 /// Result of one read. `data` points into a buffer that all connections share
 /// and is valid until the next read.
 struct SocketInput {
