--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -45,6 +45,7 @@
 class StartupQueue;
 class ForwardedRequest;
 class HttpExchange;
+class PauseMonitor;
 struct HttpResponse;
 
 /// Forwards callers' requests to backend servers according to the configuration
@@ -140,6 +141,8 @@
   /// Number of hosts that share the rates of cold servers; 0 if not known.
   std::size_t cold_rate_hosts() const { return cold_rate_hosts_; }
 
+  const PauseMonitor& pauses() const { return *pauses_; }
+
   const GatewayCounters& counters() const { return counters_; }
 
   /// Times from the arrival of a request to its delivered response, by rank.
@@ -185,6 +188,7 @@
 
   heathernet::EventLoop& loop_;
   GatewayOptions options_;
+  std::shared_ptr<PauseMonitor> pauses_;
   HttpClient client_;
   heathersteer::Placement placement_;
   heathersteer::ServerTable servers_;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -10,6 +10,7 @@
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
 #include "heathergate/listen_address.h"
+#include "heathergate/pause_monitor.h"
 #include "heathernet/event_loop.h"
 #include "heathersteer/hash.h"
 #include "heathersteer/milliseconds.h"
@@ -46,7 +47,6 @@
 constexpr Duration kResponseSlack = std::chrono::milliseconds(300);
 // Delay before the next host is followed after a failure.
 constexpr Duration kFollowRetryDelay = std::chrono::milliseconds(20);
-constexpr Duration kTickInterval = std::chrono::milliseconds(150);
 
 // Interval between two exchanges of limits and demand while there are limits.
 constexpr Duration kLimitsInterval = std::chrono::milliseconds(450);
@@ -99,6 +99,7 @@
                        const FleetOptions& options,
                        FleetListener listener)
     : source_(source),
+      pauses_(options.pauses),
       listener_(std::move(listener)),
       timing_(
           heathersteer::PropagationTiming::Within(options.propagation_bound)),
@@ -889,6 +890,7 @@
 }
 
 void FleetAgent::Tick() {
+  pauses_->Tick();
   const Instant now = EventLoop::Now();
   ExchangeLimits();
   if (operator_state_.Expire(now)) {
@@ -910,7 +912,7 @@
     reader_->EnsureReading();
   }
   peer_query_->SetActive(IsStale() && !leaving_);
-  tick_timer_.Start(kTickInterval, [this] { Tick(); });
+  tick_timer_.Start(PauseMonitor::kTickInterval, [this] { Tick(); });
 }
 
 void FleetAgent::set_ready(bool ready) {
