heatherctl trace explains requests that no server wanted

The reason that hosts log since had no meaning in its table. Found by reading; request_trace.cc compiles and lints, the command was not run.

--- a/src/heatherctl/request_trace.cc
+++ b/src/heatherctl/request_trace.cc
@@ -30,6 +30,9 @@
     ReasonMeaning{"servers at their rate limits",
                   "every usable server states a rate limit and this host's "
                   "part of each is used up; it has not run"},
+    ReasonMeaning{"servers want no requests",
+                  "every usable server turned requests of this host away with "
+                  "Retry-After; other hosts may serve it; it has not run"},
     ReasonMeaning{"no backend server is reachable",
                   "this host is cut off from all servers, and none of the "
                   "hosts in detours took the request; it has not run"},
