--- a/src/include/heathersteer/retry_budget.h
+++ b/src/include/heathersteer/retry_budget.h
@@ -27,8 +27,8 @@
   void CountRequest(heatherlever::Instant now);
 
   /// Counts a retry if the budget allows it, and returns whether it does.
-  /// `host_count` hosts share `extra`; 0 while it isn't known, and this host has
-  /// no part of it.
+  /// `host_count` hosts share `extra`; 0 while it isn't known, and this host
+  /// has no part of it.
   bool TryRetry(heatherlever::Instant now, int host_count);
 
  private:
--- a/src/include/heathersteer/server_rate_limit.h
+++ b/src/include/heathersteer/server_rate_limit.h
@@ -43,8 +43,9 @@
              heatherlever::Instant now);
 
   /// Time until this host may send a request; 0 without a limit. `host_count`
-  /// hosts share the limit; 0 while it isn't known, and this host has no part. `phase` in [0, 1) is this host's part of a token
-  /// when the limit becomes known, so that the hosts do not send together.
+  /// hosts share the limit; 0 while it isn't known, and this host has no part.
+  /// `phase` in [0, 1) is this host's part of a token when the limit becomes
+  /// known, so that the hosts do not send together.
   heatherlever::Duration TimeToSend(heatherlever::Instant now,
                                     int host_count,
                                     double phase);
