After a pause, nothing is sent before newer state is known

Cause: a host that goes on reads the requests that waited in its sockets, and sends them, before it has read what changed: it acts on permissions that have run out.

Change: a pause begins a hold, in which requests wait in the queue and responses are read. It ends with state that is newer than the pause, or after 0.4 s, so that a host goes on serving while the store is away. A host that reads the store reads at once; a follower repeats its relay request with a sequence number that no host has, to which any build responds at once, so no message changes. A relay that was paused holds updates back until it has read. A list counts as newer by its age, which counts from the request if the response may have waited in a socket; the same for update queries. A response timer that expired in a pause no longer counts as the relay's failure. The time in the queue begins with the end of the hold.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -118,6 +118,13 @@
   void OnHostsRead(
       const heathersteer::Listing<heathersteer::HostRegistration>& hosts);
   void OnTimeline(std::uint64_t timeline);
+  // Asks for state that is newer than a pause.
+  void OnPause();
+  // When what a relay response contains was known to the host that sent it.
+  heatherlever::Instant KnownAt(const RelayResponse& response) const;
+  // Whether the list of servers is newer than the last pause, after a relay
+  // response.
+  bool IsRefreshed(heatherlever::Instant response_known_at) const;
   void Follow();
   void SendRelayRequest(const heathersteer::HostRegistration& host);
   void OnRelayResponse(const heathersteer::HostRegistration& host,
@@ -226,6 +233,7 @@
   std::vector<std::string> followed_endpoints_;
   // Empty while this host reads the store for its domain.
   std::string followed_host_;
+  heatherlever::Instant relay_sent_at_{0};
   std::uint64_t relay_requests_ = 0;
   heatherlever::Instant started_at_{0};
   int host_count_ = 1;
--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -164,6 +164,8 @@
                         int rank);
   void Dequeue(std::uint64_t ticket);
   void PlaceQueued(const std::string& service);
+  // Places all queued requests after a hold.
+  void PlaceHeld();
   void StartTick();
   double Random();
 
--- a/src/include/heathergate/pause_monitor.h
+++ b/src/include/heathergate/pause_monitor.h
@@ -4,16 +4,34 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <vector>
 
+#include "heathergate/timer.h"
 #include "heatherlever/instant.h"
 #include "heathersteer/pause_detector.h"
 
+namespace heathernet {
+class EventLoop;
+}  // namespace heathernet
+
 namespace heathergate {
 
+/// Functions that a PauseMonitor calls.
+struct PauseListener {
+  /// Called in an iteration of the event loop of its own, after a pause.
+  std::function<void()> on_pause;
+  /// Called when the hold after a pause has ended.
+  std::function<void()> on_hold_ended;
+};
+
 /// Notices pauses of the event loop, as the process or its machine stood still.
+/// After a pause, requests are on hold until newer state than the pause is
+/// known, or for a bounded time.
 class PauseMonitor {
  public:
-  PauseMonitor();
+  explicit PauseMonitor(heathernet::EventLoop& loop);
+
+  void AddListener(PauseListener listener);
 
   /// To be called by a timer every kTickInterval, and before the first Check().
   void Tick();
@@ -22,7 +40,15 @@
   /// that was known earlier is used.
   void Check();
 
-  /// End of the last pause; 0 before the first one.
+  /// Whether requests are on hold.
+  bool on_hold() const { return on_hold_; }
+
+  /// Ends the hold, as state that is newer than the pause is known.
+  void OnStateRefreshed();
+
+  /// Begin and end of the last pause; 0 before the first one. The loop may have
+  /// gone on for up to kTickInterval after the begin.
+  heatherlever::Instant began_at() const { return detector_.began_at(); }
   heatherlever::Instant ended_at() const { return detector_.ended_at(); }
 
   /// Returns when bytes arrived that are read now. `time_since_input` is only
@@ -40,7 +66,13 @@
       std::chrono::milliseconds(150);
 
  private:
+  void EndHold(const char* reason);
+
+  heathernet::EventLoop& loop_;
   heathersteer::PauseDetector detector_;
+  std::vector<PauseListener> listeners_;
+  Timer hold_timer_;
+  bool on_hold_ = false;
   bool ticking_ = false;
   std::uint64_t pauses_ = 0;
   heatherlever::Duration paused_time_{0};
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -57,6 +58,11 @@
 // Age from which on limits are not passed on.
 constexpr Duration kMaxLimitsAge = std::chrono::seconds(1);
 
+// Differs from any sequence number of a host.
+constexpr std::uint64_t kNoSequence = std::numeric_limits<std::uint64_t>::max();
+// Allowance for late timers and a slow read in the age of a relay's list.
+constexpr Duration kReadSlack = std::chrono::milliseconds(100);
+
 constexpr const char* kRelayPath = "/relay";
 // A peer gets the list of servers only if its own list is older by more than
 // this.
@@ -121,7 +127,10 @@
       tick_timer_(loop),
       suspects_timer_(loop),
       suspects_limiter_(kSuspectsInterval, kSuspectsBurst),
-      incarnation_(RandomIncarnation()) {}
+      incarnation_(RandomIncarnation()) {
+  pauses_->AddListener({.on_pause = [this] { OnPause(); },
+                        .on_hold_ended = [this] { RespondWithUpdates(); }});
+}
 
 FleetAgent::~FleetAgent() = default;
 
@@ -174,6 +183,37 @@
   }
 }
 
+void FleetAgent::OnPause() {
+  if (!followed_host_.empty()) {
+    // The followed host responds at once to a request that lacks something.
+    followed_live_sequence_ = kNoSequence;
+    follow_timer_.Cancel();
+    Follow();
+  }
+  if (ShouldReadStore()) {
+    reader_->ReadNow();
+  }
+}
+
+// A response to a request from before a pause may have waited in the socket.
+Instant FleetAgent::KnownAt(const RelayResponse& response) const {
+  const bool paused_since = pauses_->ended_at() > relay_sent_at_;
+  return (paused_since ? relay_sent_at_ : EventLoop::Now()) - response.age;
+}
+
+// A relay that was paused too, and does not know it, responds with what it knew
+// before. Its list is older than those that it reads in time. A list that could
+// not be applied follows with the next response.
+bool FleetAgent::IsRefreshed(Instant response_known_at) const {
+  const Instant known_at = servers_.known_at();
+  if (relay_sent_at_ < pauses_->ended_at() || known_at < response_known_at) {
+    return false;
+  }
+  return EventLoop::Now() - known_at <= timing_.read_interval + kReadSlack ||
+         known_at >
+             pauses_->began_at() + PauseMonitor::kTickInterval + kReadSlack;
+}
+
 bool FleetAgent::IsStale() const {
   const bool nothing_known = operator_sequence_ == 0 && start_failed_;
   const Instant known_at = std::max(servers_.known_at(), started_at_);
@@ -356,6 +396,7 @@
 void FleetAgent::SendRelayRequest(const HostRegistration& host) {
   CancelRelayRequest();
   ++relay_requests_;
+  relay_sent_at_ = EventLoop::Now();
   const bool same = !followed_incarnation_.empty();
   const RelayRequest request{
       .name = relay_order_.self().name,
@@ -380,6 +421,11 @@
                              });
   response_timer_.Start(
       relay_call_, timing_.long_poll_timeout + kResponseSlack, [this, host] {
+        pauses_->Check();
+        if (pauses_->ended_at() > relay_sent_at_) {
+          // OnPause() sends the request again.
+          return;
+        }
         const std::uint64_t received = relay_call_->received_bytes();
         CancelRelayRequest();
         OnFollowFailed(host, "no answer in time, bytes received: " +
@@ -439,8 +485,9 @@
 }
 
 void FleetAgent::ApplyResponse(const RelayResponse& response) {
+  pauses_->Check();
   OnTimeline(response.timeline);
-  const Instant known_at = EventLoop::Now() - response.age;
+  const Instant known_at = KnownAt(response);
   followed_incarnation_ = response.incarnation;
   followed_operator_sequence_ = response.operator_sequence;
   followed_live_sequence_ = response.live_sequence;
@@ -469,6 +516,9 @@
   if (ShouldReadStore()) {
     reader_->EnsureReading();
   }
+  if (IsRefreshed(known_at)) {
+    pauses_->OnStateRefreshed();
+  }
 }
 
 bool FleetAgent::ShouldReadStore() const {
@@ -485,10 +535,14 @@
           },
       .on_servers =
           [this](const Listing<BackendServer>& servers, Instant requested_at) {
+            pauses_->Check();
             OnTimeline(servers.timeline);
             if (servers_.Update(servers, requested_at)) {
               OnServersChanged();
             }
+            if (requested_at >= pauses_->ended_at()) {
+              pauses_->OnStateRefreshed();
+            }
             RespondToAllPending();
           },
       .on_operator_state =
@@ -604,6 +658,7 @@
     OnDomainReport(exchange);
     return;
   }
+  pauses_->Check();
   const auto request = DecodeRequest(exchange->body(), EventLoop::Now());
   if (exchange->head().target != kRelayPath || !request) {
     exchange->Respond(HttpResponse::Of(kStatusBadRequest));
@@ -631,7 +686,8 @@
     ++live_sequence_;
     RespondWithUpdates();
   }
-  if (HasUpdate(*request)) {
+  // What this host knew before a pause is no update.
+  if (HasUpdate(*request) && !pauses_->on_hold()) {
     SendResponse(pending);
     return;
   }
@@ -650,6 +706,9 @@
 }
 
 void FleetAgent::RespondWithUpdates() {
+  if (pauses_->on_hold()) {
+    return;
+  }
   for (auto pending = pending_.begin(); pending != pending_.end();) {
     if (HasUpdate(pending->request)) {
       SendResponse(*pending);
@@ -661,7 +720,7 @@
 }
 
 void FleetAgent::RespondToAllPending() {
-  if (operator_sequence_ == 0) {
+  if (operator_sequence_ == 0 || pauses_->on_hold()) {
     return;
   }
   for (PendingRequest& pending : pending_) {
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -126,6 +126,10 @@
     Detour();
     return;
   }
+  PlaceOrEnqueue();
+}
+
+void ForwardedRequest::PlaceOrEnqueue() {
   if (TryPlace() || ended_) {
     return;
   }
@@ -141,12 +145,21 @@
     EndForStop();
     return;
   }
-  ticket_ = gateway_.Enqueue(this, service_.name, route_.rank);
-  queue_timer_.Start(heathersteer::MaxQueueTime(route_),
-                     [this] { OnQueueTimeout(); });
+  if (ticket_ == 0) {
+    ticket_ = gateway_.Enqueue(this, service_.name, route_.rank);
+  }
+  // The time in the queue counts from the end of a hold, if there is one.
+  if (!gateway_.pauses_->on_hold()) {
+    queue_timer_.Start(heathersteer::MaxQueueTime(route_),
+                       [this] { OnQueueTimeout(); });
+  }
 }
 
 void ForwardedRequest::OnQueueTimeout() {
+  gateway_.pauses_->Check();
+  if (gateway_.pauses_->on_hold()) {
+    return;
+  }
   if (exchange_->CheckClient()) {
     LogNoCapacity();
     EndUnplaced("no room");
@@ -290,6 +303,10 @@
     Detour();
     return true;
   }
+  if (gateway_.pauses_->on_hold()) {
+    last_choice_ = {};
+    return false;
+  }
   if (EndQuarantined()) {
     return false;
   }
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -47,6 +47,9 @@
   /// is none.
   bool TryPlace();
 
+  /// Places the request, which waited for the end of a hold.
+  void OnHoldEnded() { PlaceOrEnqueue(); }
+
   /// Ends the request if it waits for a server.
   void EndIfWaiting();
 
@@ -55,6 +58,7 @@
 
  private:
   void Place();
+  void PlaceOrEnqueue();
   // Waits for a place, at most as long as the route allows.
   void Enqueue();
   void OnQueueTimeout();
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -49,8 +49,9 @@
 Gateway::Gateway(EventLoop& loop, GatewayOptions options)
     : loop_(loop),
       options_(std::move(options)),
-      pauses_(options_.pauses != nullptr ? options_.pauses
-                                         : std::make_shared<PauseMonitor>()),
+      pauses_(options_.pauses != nullptr
+                  ? options_.pauses
+                  : std::make_shared<PauseMonitor>(loop)),
       client_(loop, ClientOptions(options_)),
       placement_(options_.placement),
       shift_limiter_(options_.max_shift_change),
@@ -63,7 +64,10 @@
           [this](const std::shared_ptr<HttpExchange>& exchange) {
             OnStartupWaitExpired(exchange);
           })),
-      tick_(loop) {}
+      tick_(loop) {
+  pauses_->AddListener(
+      {.on_pause = [] {}, .on_hold_ended = [this] { PlaceHeld(); }});
+}
 
 Gateway::~Gateway() = default;
 
@@ -419,6 +423,20 @@
   }
 }
 
+void Gateway::PlaceHeld() {
+  if (config_ == nullptr) {
+    return;
+  }
+  for (const auto& [name, service] : config_->services) {
+    for (const std::uint64_t ticket : queue_.Next(name, queue_.size())) {
+      const auto found = queued_.find(ticket);
+      if (found != queued_.end()) {
+        found->second->OnHoldEnded();
+      }
+    }
+  }
+}
+
 void Gateway::StartTick() {
   if (ticking_) {
     return;
--- a/src/libheathergate/pause_monitor.cc
+++ b/src/libheathergate/pause_monitor.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "heathernet/event_loop.h"
 #include "heathersteer/milliseconds.h"
@@ -16,12 +17,21 @@
 
 // Allowance for late ticks on a busy machine.
 constexpr Duration kTickSlack = std::chrono::milliseconds(200);
+// Maximum time for which requests are on hold: a few round trips to the host
+// that is followed or to the store, and a host that is followed may have to go
+// on first. Also limits the harm of an unreachable store.
+constexpr Duration kMaxHold = std::chrono::milliseconds(400);
 // Time after a pause in which what arrived during the pause is still read.
 constexpr Duration kBacklogTime = std::chrono::seconds(1);
 
 }  // namespace
 
-PauseMonitor::PauseMonitor() : detector_(kTickInterval + kTickSlack) {}
+PauseMonitor::PauseMonitor(EventLoop& loop)
+    : loop_(loop), detector_(kTickInterval + kTickSlack), hold_timer_(loop) {}
+
+void PauseMonitor::AddListener(PauseListener listener) {
+  listeners_.push_back(std::move(listener));
+}
 
 void PauseMonitor::Tick() {
   ticking_ = true;
@@ -36,6 +46,31 @@
   paused_time_ += detector_.length();
   spdlog::warn("the event loop did not run for {} ms",
                heathersteer::Milliseconds(detector_.length()));
+  on_hold_ = true;
+  hold_timer_.Start(kMaxHold, [this] { EndHold("no newer state in time"); });
+  // The caller may be about to use the calls that the listeners replace.
+  loop_.Post([this] {
+    for (const PauseListener& listener : listeners_) {
+      listener.on_pause();
+    }
+  });
+}
+
+void PauseMonitor::OnStateRefreshed() {
+  if (on_hold_) {
+    EndHold("newer state is known");
+  }
+}
+
+void PauseMonitor::EndHold(const char* reason) {
+  on_hold_ = false;
+  hold_timer_.Cancel();
+  spdlog::info("requests are sent again {} ms after the pause: {}",
+               heathersteer::Milliseconds(EventLoop::Now() - ended_at()),
+               reason);
+  for (const PauseListener& listener : listeners_) {
+    listener.on_hold_ended();
+  }
 }
 
 Instant PauseMonitor::ArrivalTime(
--- a/src/libheathergate/peer_query.cc
+++ b/src/libheathergate/peer_query.cc
@@ -70,6 +70,7 @@
   }
   const HttpPeer& peer = peers_[next_++ % peers_.size()];
   const std::string body = make_body_();
+  sent_at_ = EventLoop::Now();
   call_ = client_.Send(peer, PostHead(kPath, peer.name, body.size()), body, "",
                        [this, name = peer.name](const CallResult& result) {
                          call_ = nullptr;
@@ -88,11 +89,13 @@
       result.head.status != kStatusOk) {
     return;
   }
-  const auto response = DecodeResponse(result.body, EventLoop::Now());
+  auto response = DecodeResponse(result.body, EventLoop::Now());
   if (!response) {
     spdlog::warn("unreadable response from {} to a query for updates", peer);
     return;
   }
+  // It may have waited in the socket while the event loop was paused.
+  response->age += EventLoop::Now() - sent_at_;
   if (response->servers || response->operator_state) {
     spdlog::info("newer state received from {}, {} ms old", peer,
                  heathersteer::Milliseconds(response->age));
--- a/src/libheathergate/peer_query.h
+++ b/src/libheathergate/peer_query.h
@@ -53,6 +53,7 @@
   std::vector<HttpPeer> peers_;
   std::size_t next_ = 0;
   std::shared_ptr<HttpCall> call_;
+  heatherlever::Instant sent_at_{0};
   bool active_ = false;
 };
 
--- a/src/libheathergate/store_reader.cc
+++ b/src/libheathergate/store_reader.cc
@@ -48,25 +48,38 @@
   }
 }
 
+void StoreReader::ReadNow() {
+  if (!reading_servers_) {
+    EnsureReading();
+  } else if (servers_read_in_flight_) {
+    read_again_ = true;
+  } else {
+    servers_timer_.Cancel();
+    ReadServers();
+  }
+}
+
 void StoreReader::ReadServers() {
   servers_read_in_flight_ = true;
   const Instant requested_at = EventLoop::Now();
-  source_.ReadServers(
-      [this, requested_at](absl::StatusOr<Listing<BackendServer>> servers) {
-        servers_read_in_flight_ = false;
-        if (servers.ok()) {
-          callbacks_.on_servers(*servers, requested_at);
-          OnServersRead();
-        } else {
-          OnServersFailed(servers.status());
-        }
-        servers_timer_.Start(ServersReadDelay(), [this] {
-          reading_servers_ = callbacks_.should_read();
-          if (reading_servers_) {
-            ReadServers();
-          }
-        });
-      });
+  source_.ReadServers([this, requested_at](
+                          absl::StatusOr<Listing<BackendServer>> servers) {
+    servers_read_in_flight_ = false;
+    if (servers.ok()) {
+      callbacks_.on_servers(*servers, requested_at);
+      OnServersRead();
+    } else {
+      OnServersFailed(servers.status());
+    }
+    const Duration delay =
+        std::exchange(read_again_, false) ? Duration(0) : ServersReadDelay();
+    servers_timer_.Start(delay, [this] {
+      reading_servers_ = callbacks_.should_read();
+      if (reading_servers_) {
+        ReadServers();
+      }
+    });
+  });
 }
 
 void StoreReader::OnServersRead() {
--- a/src/libheathergate/store_reader.h
+++ b/src/libheathergate/store_reader.h
@@ -53,6 +53,9 @@
   /// Starts the read loops that aren't running.
   void EnsureReading();
 
+  /// Reads the servers at once, again if a read is in flight.
+  void ReadNow();
+
  private:
   void ReadServers();
   void OnServersRead();
@@ -71,6 +74,8 @@
   // Whether a read of the servers is in flight; reading_servers_ also covers
   // the delay until the next one.
   bool servers_read_in_flight_ = false;
+  // Whether to read again when the read in flight has ended.
+  bool read_again_ = false;
   // Version of the operator's state at the last read.
   heathersteer::StoreVersion operator_version_;
 };
--- a/testsuite/gateway/paused_host_test.py
+++ b/testsuite/gateway/paused_host_test.py
@@ -20,11 +20,13 @@
     def test_waiting_requests_reach_no_server_that_was_drained_meanwhile(self):
         drained, hosts = self.start("h1")
         self.assert_drained_server_gets_nothing(drained, hosts, hosts)
+        hosts[0].await_log("newer state is known")
 
     def test_waiting_requests_at_a_follower_reach_no_server_that_was_drained_meanwhile(self):
         drained, hosts = self.start("h1", "h2")
         hosts[1].await_log("news come from h1")
         self.assert_drained_server_gets_nothing(drained, hosts[1:], hosts[1:])
+        hosts[1].await_log("newer state is known")
 
     def test_waiting_requests_reach_no_drained_server_when_all_hosts_stood_still(self):
         drained, hosts = self.start("h1", "h2", "h3")
