--- a/src/include/heathersteer/cold_rate_limiter.h
+++ b/src/include/heathersteer/cold_rate_limiter.h
@@ -26,6 +26,9 @@
   /// Records a request that is sent.
   void RecordSend(heatherlever::Instant now) { last_send_ = now; }
 
+  /// Goes on from the limiter of the server's last incarnation.
+  void Continue(const ColdRateLimiter& last) { last_send_ = last.last_send_; }
+
  private:
   std::optional<heatherlever::Instant> last_send_;
   // Rank of this host for the server, and the generation of the shares by which
--- a/src/libheathersteer/cold_fleet_test.cc
+++ b/src/libheathersteer/cold_fleet_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <random>
 #include <string>
@@ -73,6 +74,18 @@
                                           now_ + host.clock_offset);
   }
 
+  // All hosts list the server as started anew, though the process may have
+  // served them already.
+  void ListNextIncarnation() {
+    ++started_ms_;
+    for (const auto& host : hosts_) {
+      BackendServer server = host->table.Find("i-1")->server;
+      server.started_ms = started_ms_;
+      server.cold_until = ColdUntil(*host);
+      host->table.Put(server);
+    }
+  }
+
   void InformAll() {
     for (int i = 0; i < size(); ++i) {
       Inform(i, size());
@@ -132,11 +145,15 @@
     server.region = "region0";
     server.domain = "domain0";
     server.slots = 1000;
-    server.cold_until = now_ + host->clock_offset + seconds(3600);
+    server.cold_until = ColdUntil(*host);
     host->table.Put(server);
     return host;
   }
 
+  Instant ColdUntil(const Host& host) const {
+    return now_ + host.clock_offset + seconds(3600);
+  }
+
   void SendWaiting(Host& host) {
     PlacementRequest request;
     request.route = &route_;
@@ -163,6 +180,7 @@
   std::vector<std::unique_ptr<Host>> hosts_;
   Instant now_ = seconds(10);
   std::vector<Instant> sends_;
+  std::int64_t started_ms_ = 0;
 };
 
 struct Deployment {
@@ -209,6 +227,20 @@
 
 // Hosts that had nothing to send for some intervals sent at the same moment
 // when a burst reached all of them.
+TEST_P(ColdFleetTest, ServerThatIsListedAnewGetsNoMoreThanItsRate) {
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    Fleet fleet(hosts_, rate_, seed);
+    fleet.InformAll();
+    fleet.Run(seconds(2), 100 * rate_, [](int) { return true; });
+    for (int i = 0; i < 20; ++i) {
+      fleet.Run(milliseconds(370), 100 * rate_, [](int) { return true; });
+      fleet.ListNextIncarnation();
+    }
+    EXPECT_GE(fleet.sent(), 1U);
+    EXPECT_LE(static_cast<double>(fleet.MostInASecond()), fleet.allowed());
+  }
+}
+
 TEST_P(ColdFleetTest, HostsThatWereIdleKeepToTheRate) {
   for (unsigned seed = 0; seed < kSeeds; ++seed) {
     Fleet fleet(hosts_, rate_, seed);
--- a/src/libheathersteer/server_table.cc
+++ b/src/libheathersteer/server_table.cc
@@ -23,11 +23,14 @@
     state->server = server;
     return;
   }
-  if (state) {
-    Unlink(state);
-  }
+  const auto last = state;
   state = std::make_shared<ServerState>();
   state->server = server;
+  if (last) {
+    Unlink(last);
+    // The process may have started long before it was listed.
+    state->cold_limiter.Continue(last->cold_limiter);
+  }
   // An older list may bring a server back after it was removed.
   state->leaving_since = leaving_.Since(server.id, server.started_ms);
   state->backoff_until = backoffs_.Until(server.id, server.started_ms);
