Pauses in a row don't hold requests for longer

A host whose loop is late again and again sent nothing, and its callers were rejected at their deadlines.

Change: a hold that is running goes on after pauses of less than a second. Held requests of services that a newer configuration has dropped end with the hold as well; they waited for their deadlines.

Evidence: test_requests_are_served_while_a_host_pauses_again_and_again (pauses of 0.4 s, 0.05 s apart, the store away), before the change: requests are served only after the last pause ("2361.40 not less than 2360.75").

--- a/src/include/heathergate/gateway.h
+++ b/src/include/heathergate/gateway.h
@@ -185,6 +185,7 @@
   void PlaceQueued(const std::string& service);
   // Places all queued requests after a hold.
   void PlaceHeld();
+  void PlaceHeld(std::uint64_t ticket);
   void StartTick();
   double Random();
 
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -51,6 +51,9 @@
   /// longer than it may be queued.
   void TryPlaceQueued();
 
+  /// Name of the service that it goes to.
+  const std::string& service() const { return service_.name; }
+
   /// Places the request, which waited for the end of a hold.
   void OnHoldEnded() { PlaceOrEnqueue(); }
 
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -449,12 +449,26 @@
   }
   for (const auto& [name, service] : config_->services) {
     for (const std::uint64_t ticket : queue_.Next(name, queue_.size())) {
-      const auto found = queued_.find(ticket);
-      if (found != queued_.end()) {
-        found->second->OnHoldEnded();
-      }
+      PlaceHeld(ticket);
+    }
+  }
+  // A newer configuration may have dropped the services of the rest.
+  std::vector<std::uint64_t> others;
+  for (const auto& [ticket, request] : queued_) {
+    if (!config_->services.contains(request->service())) {
+      others.push_back(ticket);
     }
   }
+  for (const std::uint64_t ticket : others) {
+    PlaceHeld(ticket);
+  }
+}
+
+void Gateway::PlaceHeld(std::uint64_t ticket) {
+  const auto found = queued_.find(ticket);
+  if (found != queued_.end()) {
+    found->second->OnHoldEnded();
+  }
 }
 
 void Gateway::StartTick() {
--- a/src/libheathergate/pause_monitor.cc
+++ b/src/libheathergate/pause_monitor.cc
@@ -21,6 +21,8 @@
 // that is followed or to the store, and a host that is followed may have to go
 // on first. Also limits the harm of an unreachable store.
 constexpr Duration kMaxHold = std::chrono::milliseconds(400);
+// Pauses from this length on begin a hold anew.
+constexpr Duration kLongPause = std::chrono::seconds(1);
 // Time after a pause in which what arrived during the pause is still read.
 constexpr Duration kBacklogTime = std::chrono::seconds(1);
 
@@ -46,8 +48,10 @@
   paused_time_ += detector_.length();
   spdlog::warn("the event loop did not run for {} ms",
                heathersteer::Milliseconds(detector_.length()));
-  on_hold_ = true;
-  hold_timer_.Start(kMaxHold, [this] { EndHold("no newer state in time"); });
+  // A host whose loop is always late would otherwise never send again.
+  if (!std::exchange(on_hold_, true) || detector_.length() >= kLongPause) {
+    hold_timer_.Start(kMaxHold, [this] { EndHold("no newer state in time"); });
+  }
   // The caller may be about to use the calls that the listeners replace.
   loop_.Post([this] {
     for (const PauseListener& listener : listeners_) {
--- a/testsuite/gateway/paused_host_test.py
+++ b/testsuite/gateway/paused_host_test.py
@@ -1,4 +1,5 @@
 import os
+import threading
 import time
 import unittest
 
@@ -8,6 +9,8 @@
 
 PAUSE_S = 2
 REQUESTS = 20
+# Time for which a host pauses again and again.
+REPEATED_S = 6
 # Program of an earlier build that runs beside the present one in an upgrade; the present one if it is not given.
 OLD_PROGRAM = os.environ.get("HEATHER_OLD_PROGRAM", PROGRAM)
 # What a cold server may get in one second, from all hosts together: 10 requests/s in the configuration.
@@ -73,6 +76,25 @@
         self.assertEqual({200}, {connection.getresponse().status for connection in connections})
         self.assertLess(time.monotonic() - resumed, 1)
 
+    def test_requests_are_served_while_a_host_pauses_again_and_again(self):
+        _, (host,) = self.start("h1")
+        self.store.down = True
+        end = time.monotonic() + REPEATED_S
+
+        def pause_again():
+            while time.monotonic() < end:
+                with paused(host, seconds=0.4):
+                    pass
+                time.sleep(0.05)
+
+        with paused(host, seconds=0.4):
+            connections = self.send(host)
+        pauses = threading.Thread(target=pause_again)
+        pauses.start()
+        self.assertEqual({200}, {connection.getresponse().status for connection in connections})
+        self.assertLess(time.monotonic(), end)
+        pauses.join()
+
     def test_waiting_requests_of_a_short_queue_time_are_not_rejected(self):
         _, (host,) = self.start("h1", targetLatency="100ms")
         with paused(host, seconds=PAUSE_S):
