Requests are not written to servers that changed since the choice

Change: the server is checked again when the head is made, and the part counts from then; a request that is not to be written is placed again.

Shown: the two new tests of PlacementTest; there is no test of a slow connection with a process.

--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -82,6 +82,13 @@
               const Service& service,
               heatherlever::Instant now);
 
+  /// Whether a request that `server` was chosen for may be written to it now,
+  /// by what became known since. `was_cold` tells whether the server was cold
+  /// when it was chosen. Requests to cold servers count from now on.
+  static bool ConfirmSend(ServerState& server,
+                          bool was_cold,
+                          heatherlever::Instant now);
+
   /// Sets the number of hosts that share servers' rate limits; 0 if it isn't
   /// known.
   void set_host_count(int hosts) { options_.host_count = hosts; }
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -386,6 +386,7 @@
 void ForwardedRequest::Send(std::shared_ptr<heathersteer::ServerState> server) {
   server_ = std::move(server);
   sent_at_ = EventLoop::Now();
+  server_was_cold_ = server_->cold(sent_at_);
   gateway_.placement_.Commit(*server_, service_, sent_at_);
   ++gateway_.counters_.sends;
   if (!gateway_.crash_suspects_.empty()) {
@@ -422,10 +423,15 @@
 std::optional<std::string> ForwardedRequest::MakeHead(
     const HeaderField& target) const {
   gateway_.pauses_->Check();
-  const Duration left = deadline_ - EventLoop::Now();
+  const Instant now = EventLoop::Now();
+  const Duration left = deadline_ - now;
   if (left <= Duration(0) || gateway_.pauses_->ended_at() > sent_at_) {
     return std::nullopt;
   }
+  if (server_ != nullptr &&
+      !heathersteer::Placement::ConfirmSend(*server_, server_was_cold_, now)) {
+    return std::nullopt;
+  }
   const HeaderNames& names = gateway_.options_.names;
   const HttpHead& head = exchange_->head();
   const std::string* connection = head.Find("Connection");
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -150,6 +150,8 @@
   std::shared_ptr<HttpCall> call_;
   std::shared_ptr<heathersteer::ServerState> server_;
   heatherlever::Instant sent_at_{0};
+  // Whether the server was cold when it was chosen.
+  bool server_was_cold_ = false;
   std::vector<std::string> tried_;
   // Response of a server that failed, while the request is sent to another.
   std::optional<CallResult> failure_;
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -316,4 +316,16 @@
   }
 }
 
+// Connecting may take long enough for two requests that were chosen a second
+// apart to arrive within one.
+bool Placement::ConfirmSend(ServerState& state, bool was_cold, Instant now) {
+  const bool turned_cold = state.cold(now) && !was_cold;
+  if (!state.listed || state.server.draining || turned_cold ||
+      state.BackoffLeft(now) > Duration(0)) {
+    return false;
+  }
+  state.cold_limiter.RecordSend(now);
+  return true;
+}
+
 }  // namespace heathersteer
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -374,6 +374,47 @@
   EXPECT_NE(Choose(placement, "key", kNow + seconds(6)), nullptr);
 }
 
+// A connection may take long to be established.
+TEST_F(PlacementTest, RequestsAreNotWrittenToServersThatChangedSinceTheChoice) {
+  const Placement placement(Options("north"));
+  const auto server = Choose(placement, "key");
+  EXPECT_TRUE(Placement::ConfirmSend(*server, false, kNow));
+  server->server.cold_until = kNow + seconds(3);
+  EXPECT_FALSE(Placement::ConfirmSend(*server, false, kNow));
+  EXPECT_TRUE(Placement::ConfirmSend(*server, true, kNow));
+  server->backoff_until = kNow + seconds(1);
+  EXPECT_FALSE(Placement::ConfirmSend(*server, true, kNow));
+  server->backoff_until = kNow;
+  server->server.draining = true;
+  EXPECT_FALSE(Placement::ConfirmSend(*server, true, kNow));
+  server->server.draining = false;
+  table_.KeepOnly({});
+  EXPECT_FALSE(Placement::ConfirmSend(*server, true, kNow));
+}
+
+TEST_F(PlacementTest, ThePartOfAColdServerCountsFromTheWrite) {
+  service_.cold_requests_per_s = 1;
+  Placement placement(Options("north", "host"));
+  placement.cold_shares().SetHosts({{"host", "north", "north-a"}}, kNow);
+  BackendServer cold = MakeServer("cold", "north");
+  cold.cold_until = kNow + seconds(30);
+  ServerTable table;
+  table.Put(cold);
+  const Instant chosen = kNow + seconds(5);
+  const auto server = placement.Choose(table, Request("key"), chosen).server;
+  ASSERT_NE(server, nullptr);
+  placement.Commit(*server, service_, chosen);
+  const Instant written = chosen + milliseconds(300);
+  EXPECT_TRUE(Placement::ConfirmSend(*server, true, written));
+  EXPECT_EQ(placement.Choose(table, Request("key"), written + milliseconds(999))
+                .server,
+            nullptr);
+  EXPECT_EQ(
+      placement.Choose(table, Request("key"), written + milliseconds(1001))
+          .server,
+      server);
+}
+
 // Requests were queued for servers that could not take them in time.
 TEST_F(PlacementTest, TellsThatAllServersAreColdAndForHowLong) {
   const Placement placement(Options("north"));
