Servers that failed just after a host's start are tried again at their pace

All servers had broken a connection within the host's first second.

Cause: the second for which a host leaves cold servers alone after its first list of hosts, as an earlier process may have used its part, also held for servers that only failed. Such a server has failed since this process started; if it is a new incarnation, nothing of an earlier process has reached it.

Test: ColdRateLimiterTest.FailedServersNeedNotWaitAfterTheFirstList.

--- a/src/include/heathersteer/cold_rate_shares.h
+++ b/src/include/heathersteer/cold_rate_shares.h
@@ -23,7 +23,6 @@
   explicit ColdRateShares(const PlacementOptions& options);
 
   /// Sets all hosts that share the rates; empty while some may not be known.
-  /// The first list takes effect with a delay.
   void SetHosts(std::vector<HostLocation> hosts, heatherlever::Instant now);
 
   /// This host's position for `server` among all hosts, from 0.
@@ -32,10 +31,9 @@
   /// Requests/s of the host at position `rank`, of `requests_per_s`.
   int Share(double requests_per_s, std::size_t rank) const;
 
-  /// Whether the shares can be used already.
-  bool known(heatherlever::Instant now) const {
-    return !hosts_.empty() && now >= usable_from_;
-  }
+  /// Time before which requests still count that an earlier process of this
+  /// host has sent.
+  heatherlever::Instant earlier_sends_end() const { return earlier_sends_end_; }
 
   /// Changes with each list; ranks of different generations may differ.
   std::uint64_t generation() const { return generation_; }
@@ -48,7 +46,7 @@
   double other_domain_weight_;
   std::vector<HostLocation> hosts_;
   std::uint64_t generation_ = 0;
-  heatherlever::Instant usable_from_{0};
+  heatherlever::Instant earlier_sends_end_{0};
 };
 
 }  // namespace heathersteer
--- a/src/libheathersteer/cold_rate_shares.cc
+++ b/src/libheathersteer/cold_rate_shares.cc
@@ -35,7 +35,7 @@
     return;
   }
   if (hosts_.empty()) {
-    usable_from_ = now + kStartDelay;
+    earlier_sends_end_ = now + kStartDelay;
   }
   hosts_ = std::move(hosts);
   ++generation_;
--- a/src/libheathersteer/cold_rate_shares_test.cc
+++ b/src/libheathersteer/cold_rate_shares_test.cc
@@ -95,11 +95,13 @@
 }
 
 // A host that was restarted sent its share of a second twice.
-TEST(ColdRateSharesTest, FirstListTakesEffectAfterASecond) {
+TEST(ColdRateLimiterTest, ColdServersWaitASecondAfterTheFirstList) {
   ColdRateShares shares = MakeShares(0, 1);
   ColdRateLimiter limiter;
+  BackendServer server = Server(0);
+  server.cold_until = kNow + seconds(60);
   const auto time_to_send = [&](Instant now) {
-    return limiter.TimeToSend(shares, Server(0), 10, now);
+    return limiter.TimeToSend(shares, server, 10, now);
   };
   EXPECT_GT(time_to_send(kNow + milliseconds(999)), Duration(0));
   EXPECT_EQ(time_to_send(kNow + seconds(1)), Duration(0));
@@ -107,6 +109,15 @@
   EXPECT_EQ(time_to_send(kNow + seconds(5)), Duration(0));
 }
 
+// Requests were rejected if servers broke connections just after the start.
+TEST(ColdRateLimiterTest, FailedServersNeedNotWaitAfterTheFirstList) {
+  const ColdRateShares shares = MakeShares(0, 1);
+  ColdRateLimiter limiter;
+  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 10, kNow), Duration(0));
+  limiter.RecordSend(kNow);
+  EXPECT_GT(limiter.TimeToSend(shares, Server(0), 10, kNow), Duration(0));
+}
+
 TEST(ColdRateLimiterTest, NoSecondHoldsMoreThanTheShareAfterAnIdleTime) {
   const ColdRateShares shares = MakeShares(0, 1);
   for (int share = 1; share <= 300; ++share) {
