Hosts that may not know all hosts yet take no part of limits and retries

Evidence: test_limited_server_gets_nothing_while_hosts_may_still_register fails before the change (served at once) and passes with it, as does rate_limit_test (14 tests).

--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -386,8 +386,10 @@
   }
   // Other hosts don't count this one before it is listed.
   listener_.on_hosts(known, hosts_settled_ && listed);
-  SetHostCount(count);
-  spdlog::info("{} hosts are registered", host_count_);
+  // While others may still register, a part of what is shared would be too
+  // large.
+  SetHostCount(hosts_settled_ ? count : 0);
+  spdlog::info("{} hosts are registered", count);
   if (!registering_ && hosts_.IsLost(self.name, self.registration_version)) {
     spdlog::warn("the store has lost the registration of {}", self.name);
     Register();
--- a/testsuite/gateway/rate_limit_test.py
+++ b/testsuite/gateway/rate_limit_test.py
@@ -152,6 +152,20 @@
         self.assertEqual([200] + 49 * [503], statuses)
         self.assertEqual(1, len(limited.runs))
 
+    def test_limited_server_gets_nothing_while_hosts_may_still_register(self):
+        def state_limit(request, connection):
+            return make_response(request, b"limited", extra="Server-Limit: 1000\r\n")
+
+        self.backend("i-1", state_limit)
+        host = self.started_host("h1", first_start=True)
+        host.await_log("backend server i-1 ")
+        host.await_log("1 hosts are registered")
+        # The first response states the limit.
+        statuses = [host.request(request_id=f"early-{number}")[0] for number in range(20)]
+        self.assertEqual([200] + 19 * [503], statuses)
+        host.await_log("1 hosts share the rates of cold servers")
+        self.send_until(host, 200)
+
     def test_cold_server_gets_nothing_while_hosts_may_still_register(self):
         cold = self.cold_backend("i-1")
         self.backend("i-2", slots=100)
