--- a/src/libheathersteer/rate_limit_fleet_test.cc
+++ b/src/libheathersteer/rate_limit_fleet_test.cc
@@ -222,6 +222,18 @@
             kAllowedExcess * window_s * fleet_case.limit + kAllowedExtra);
 }
 
+void ExpectLimitKeptAfterACommonPause(int hosts) {
+  const FleetCase fleet_case = {
+      .hosts = hosts, .limit = 8.5, .demand = 2, .sharing = true};
+  Fleet fleet(fleet_case);
+  fleet.Run(kDuration / 2);
+  fleet.PauseThenSendAtAllHosts(seconds(5), 20);
+  fleet.Run(kDuration / 2);
+  const double window_s = std::chrono::duration<double>(kWindow).count();
+  EXPECT_LE(fleet.MaxInWindow(),
+            kAllowedExcess * window_s * fleet_case.limit + kAllowedExtra);
+}
+
 // Hosts went on by free slots alone when a server stated a limit.
 TEST(RateLimitFleetTest, ServerGetsNoMoreThanItsLimitFrom20Hosts) {
   ExpectLimitKept({.hosts = 20, .limit = 8.5, .demand = 2});
@@ -262,28 +274,12 @@
 
 // Each host may have saved a token meanwhile.
 TEST(RateLimitFleetTest, LimitIsKeptWhenAllHostsGoOnAfterACommonPause) {
-  const FleetCase fleet_case = {
-      .hosts = 22, .limit = 8.5, .demand = 2, .sharing = true};
-  Fleet fleet(fleet_case);
-  fleet.Run(kDuration / 2);
-  fleet.PauseThenSendAtAllHosts(seconds(5), 20);
-  fleet.Run(kDuration / 2);
-  const double window_s = std::chrono::duration<double>(kWindow).count();
-  EXPECT_LE(fleet.MaxInWindow(),
-            kAllowedExcess * window_s * fleet_case.limit + kAllowedExtra);
+  ExpectLimitKeptAfterACommonPause(22);
 }
 
 // The same, with more hosts than the limit allows requests in a window.
 TEST(RateLimitFleetTest, LimitIsKeptWhenManyHostsGoOnAfterACommonPause) {
-  const FleetCase fleet_case = {
-      .hosts = 120, .limit = 8.5, .demand = 2, .sharing = true};
-  Fleet fleet(fleet_case);
-  fleet.Run(kDuration / 2);
-  fleet.PauseThenSendAtAllHosts(seconds(5), 20);
-  fleet.Run(kDuration / 2);
-  const double window_s = std::chrono::duration<double>(kWindow).count();
-  EXPECT_LE(fleet.MaxInWindow(),
-            kAllowedExcess * window_s * fleet_case.limit + kAllowedExtra);
+  ExpectLimitKeptAfterACommonPause(120);
 }
 
 // With equal parts the limit is used in proportion to the hosts with demand.
