Review cases as they were; parts of a cold rate have one name; no unused parameter

GLOSSARY calls what a host may use of a shared rate its part; ColdRateShares called it a share, too. Placement::Commit() had a parameter that nothing used. No change of logic.

--- a/review/rig.py
+++ b/review/rig.py
@@ -323,6 +323,8 @@
                          "blob": "25ms", "blobMbS": 80.0},
             **(settings or {})}
         self.file = os.path.join(case.temporary, self.name + ".json")
+        with open(self.file, "w", encoding="utf-8") as file:
+            json.dump(self.settings, file)
         self.log = os.path.join(case.temporary, self.name + ".log")
         self.process = None
         self.ended = 0
@@ -335,10 +337,6 @@
             raise Unfit(f"{command[0]} is missing; build it with the command of deploy/system.toml")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["HEATHERLEVER_NODE_FILE"] = self.file
-        # True only when the whole system starts for the first time.
-        self.settings["bootstrap"] = self.settings["bootstrap"] and self.process is None
-        with open(self.file, "w", encoding="utf-8") as file:
-            json.dump(self.settings, file)
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen([os.path.join(ROOT, command[0]), *command[1:]], cwd=ROOT, env=environment,
                                             stdin=subprocess.DEVNULL, stdout=log, stderr=log)
--- a/src/heather-simulate/simulated_host.cc
+++ b/src/heather-simulate/simulated_host.cc
@@ -177,7 +177,7 @@
   request->sent_at = now;
   request->job_id = 0;
   const int send_number = ++request->send_count;
-  placement_.Commit(*server, services_.at(server->server.service), now);
+  placement_.Commit(*server, now);
   const Duration delay = DelayTo(server->server);
   events_.After(delay, [this, request, send_number, delay] {
     if (request->ended || request->send_count != send_number) {
@@ -301,7 +301,7 @@
 }
 
 void SimulatedHost::SetHosts(std::vector<HostLocation> hosts) {
-  placement_.cold_shares().SetHosts(std::move(hosts), events_.now());
+  placement_.cold_parts().SetHosts(std::move(hosts), events_.now());
 }
 
 void SimulatedHost::SetServers(
@@ -320,7 +320,7 @@
     Finish(request, CallerAttemptOutcome::kFailed, Duration(0));
   }
   servers_ = {};
-  placement_.cold_shares().SetHosts({}, events_.now());
+  placement_.cold_parts().SetHosts({}, events_.now());
   shift_limiter_ = {};
   budgets_.clear();
   throttles_.clear();
--- a/src/include/heathersteer/cold_rate_limiter.h
+++ b/src/include/heathersteer/cold_rate_limiter.h
@@ -9,16 +9,16 @@
 
 namespace heathersteer {
 
-class ColdRateShares;
+class ColdRateParts;
 struct BackendServer;
 
-/// Limits this host's requests to one cold server to its share of the server's
+/// Limits this host's requests to one cold server to its part of the server's
 /// rate. Requests are an equal interval apart, and an idle time earns no
-/// credit, so no second holds more requests than the share.
+/// credit, so no second holds more requests than the part.
 class ColdRateLimiter {
  public:
-  /// Time until a request may be sent; Duration::max() without a share.
-  heatherlever::Duration TimeToSend(const ColdRateShares& shares,
+  /// Time until a request may be sent; Duration::max() without a part.
+  heatherlever::Duration TimeToSend(const ColdRateParts& parts,
                                     const BackendServer& server,
                                     double requests_per_s,
                                     heatherlever::Instant now);
@@ -31,7 +31,7 @@
 
  private:
   std::optional<heatherlever::Instant> last_send_;
-  // Rank of this host for the server, and the generation of the shares by which
+  // Rank of this host for the server, and the generation of the parts by which
   // it was determined.
   std::size_t rank_ = 0;
   std::optional<std::uint64_t> generation_;
--- a/src/include/heathersteer/cold_rate_shares.h
+++ b/src/include/heathersteer/cold_rate_parts.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERSTEER_COLD_RATE_SHARES_H_
-#define HEATHERSTEER_COLD_RATE_SHARES_H_
+#ifndef HEATHERSTEER_COLD_RATE_PARTS_H_
+#define HEATHERSTEER_COLD_RATE_PARTS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -15,12 +15,12 @@
 struct PlacementOptions;
 
 /// Divides the request rate of a cold server between all hosts, in whole
-/// requests per second. Hosts with the same list of hosts agree on the shares;
+/// requests per second. Hosts with the same list of hosts agree on the parts;
 /// those close to the server come first.
-class ColdRateShares {
+class ColdRateParts {
  public:
-  /// Without a list of hosts this host has no share.
-  explicit ColdRateShares(const PlacementOptions& options);
+  /// Without a list of hosts this host has no part.
+  explicit ColdRateParts(const PlacementOptions& options);
 
   /// Sets all hosts that share the rates; empty while some may not be known.
   void SetHosts(std::vector<HostLocation> hosts, heatherlever::Instant now);
@@ -29,7 +29,7 @@
   std::size_t Rank(const BackendServer& server) const;
 
   /// Requests/s of the host at position `rank`, of `requests_per_s`.
-  int Share(double requests_per_s, std::size_t rank) const;
+  int Part(double requests_per_s, std::size_t rank) const;
 
   /// Time before which requests still count that an earlier process of this
   /// host has sent.
@@ -51,4 +51,4 @@
 
 }  // namespace heathersteer
 
-#endif  // HEATHERSTEER_COLD_RATE_SHARES_H_
+#endif  // HEATHERSTEER_COLD_RATE_PARTS_H_
--- a/src/include/heathersteer/placement.h
+++ b/src/include/heathersteer/placement.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "heatherlever/instant.h"
-#include "heathersteer/cold_rate_shares.h"
+#include "heathersteer/cold_rate_parts.h"
 #include "heathersteer/placement_options.h"
 #include "heathersteer/server_table.h"
 
@@ -71,16 +71,14 @@
 class Placement {
  public:
   explicit Placement(PlacementOptions options)
-      : options_(std::move(options)), cold_shares_(options_) {}
+      : options_(std::move(options)), cold_parts_(options_) {}
 
   PlacementChoice Choose(const ServerTable& table,
                          const PlacementRequest& request,
                          heatherlever::Instant now) const;
 
   /// Counts a request that is sent to `server`.
-  void Commit(ServerState& server,
-              const Service& service,
-              heatherlever::Instant now);
+  void Commit(ServerState& server, heatherlever::Instant now);
 
   /// Whether a request that `server` was chosen for may be written to it now,
   /// by what became known since. `was_cold` tells whether the server was cold
@@ -97,7 +95,7 @@
   void set_servers_uncertain(bool uncertain) { servers_uncertain_ = uncertain; }
 
   /// The hosts that share the request rates of cold servers.
-  ColdRateShares& cold_shares() { return cold_shares_; }
+  ColdRateParts& cold_parts() { return cold_parts_; }
 
   /// Number of requests that were sent to cold servers.
   std::uint64_t cold_sends() const { return cold_sends_; }
@@ -163,7 +161,7 @@
   double Weight(const ServerState& server, heatherlever::Instant now) const;
 
   PlacementOptions options_;
-  ColdRateShares cold_shares_;
+  ColdRateParts cold_parts_;
   bool servers_uncertain_ = false;
   std::uint64_t cold_sends_ = 0;
 };
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -389,7 +389,7 @@
   server_ = std::move(server);
   sent_at_ = EventLoop::Now();
   server_was_cold_ = server_->cold(sent_at_);
-  gateway_.placement_.Commit(*server_, service_, sent_at_);
+  gateway_.placement_.Commit(*server_, sent_at_);
   ++gateway_.counters_.sends;
   if (!gateway_.crash_suspects_.empty()) {
     gateway_.crash_suspects_.RecordSend(Fingerprint(), sent_at_);
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -92,7 +92,7 @@
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
   void ObserveLeaving(const CallResult& result, heatherlever::Instant now);
-  // Heeds a server that turns requests away and wants none for a time.
+  // Records for how long a server that rejected the request wants no more.
   void ObserveBackoff(const CallResult& result, heatherlever::Instant now);
   // Takes over what another host returned about the server that responded.
   void ObserveLeavingElsewhere(const HttpHead& head);
--- a/src/libheathergate/gateway.cc
+++ b/src/libheathergate/gateway.cc
@@ -343,7 +343,7 @@
   for (const heathersteer::HostRegistration& host : hosts) {
     locations.push_back({host.name, host.region, host.domain});
   }
-  placement_.cold_shares().SetHosts(std::move(locations), EventLoop::Now());
+  placement_.cold_parts().SetHosts(std::move(locations), EventLoop::Now());
 }
 
 void Gateway::SetRetryOptions(const heathersteer::RetryBudgetOptions& retries) {
--- a/src/libheathersteer/cold_fleet_test.cc
+++ b/src/libheathersteer/cold_fleet_test.cc
@@ -70,8 +70,8 @@
       locations.push_back({options.host, options.region, options.domain});
     }
     Host& host = *hosts_[index];
-    host.placement.cold_shares().SetHosts(std::move(locations),
-                                          now_ + host.clock_offset);
+    host.placement.cold_parts().SetHosts(std::move(locations),
+                                         now_ + host.clock_offset);
   }
 
   // All hosts list the server as started anew, though the process may have
@@ -167,7 +167,7 @@
         host.waiting = std::min(host.waiting, 3);
         return;
       }
-      host.placement.Commit(*choice.server, service_, now);
+      host.placement.Commit(*choice.server, now);
       choice.server->load.Finished();
       sends_.push_back(now_);
     }
--- a/src/libheathersteer/cold_rate_shares.cc
+++ b/src/libheathersteer/cold_rate_parts.cc
@@ -1,4 +1,4 @@
-#include "heathersteer/cold_rate_shares.h"
+#include "heathersteer/cold_rate_parts.h"
 
 #include <algorithm>
 #include <chrono>
@@ -18,19 +18,19 @@
 // Time in which requests still count that this host has sent before a restart.
 constexpr Duration kStartDelay = std::chrono::seconds(1);
 
-// Share of servers that declare no rate, or less than one request per second.
+// Part at servers that declare no rate, or less than one request per second.
 constexpr double kMinRequestsPerSecond = 1;
 // Limits the conversion to an integer; no server declares as much.
 constexpr double kMaxRequestsPerSecond = 1e6;
 
 }  // namespace
 
-ColdRateShares::ColdRateShares(const PlacementOptions& options)
+ColdRateParts::ColdRateParts(const PlacementOptions& options)
     : self_{options.host, options.region, options.domain},
       other_region_weight_(options.other_region_weight),
       other_domain_weight_(options.other_domain_weight) {}
 
-void ColdRateShares::SetHosts(std::vector<HostLocation> hosts, Instant now) {
+void ColdRateParts::SetHosts(std::vector<HostLocation> hosts, Instant now) {
   if (hosts_ == hosts) {
     return;
   }
@@ -41,8 +41,8 @@
   ++generation_;
 }
 
-double ColdRateShares::Score(const HostLocation& host,
-                             const BackendServer& server) const {
+double ColdRateParts::Score(const HostLocation& host,
+                            const BackendServer& server) const {
   double weight = 1;
   if (host.region != server.region) {
     weight = other_region_weight_;
@@ -52,7 +52,7 @@
   return weight / -std::log(UnitHash(host.name, server.id));
 }
 
-std::size_t ColdRateShares::Rank(const BackendServer& server) const {
+std::size_t ColdRateParts::Rank(const BackendServer& server) const {
   const double self_score = Score(self_, server);
   return static_cast<std::size_t>(
       std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& host) {
@@ -62,7 +62,7 @@
       }));
 }
 
-int ColdRateShares::Share(double requests_per_s, std::size_t rank) const {
+int ColdRateParts::Part(double requests_per_s, std::size_t rank) const {
   if (hosts_.empty()) {
     return 0;
   }
--- a/src/libheathersteer/cold_rate_shares_test.cc
+++ b/src/libheathersteer/cold_rate_parts_test.cc
@@ -1,4 +1,4 @@
-#include "heathersteer/cold_rate_shares.h"
+#include "heathersteer/cold_rate_parts.h"
 
 #include <gtest/gtest.h>
 
@@ -47,20 +47,20 @@
   return server;
 }
 
-ColdRateShares MakeShares(int index, int count) {
-  ColdRateShares shares(Options(index));
-  shares.SetHosts(Hosts(count), kNow);
-  return shares;
+ColdRateParts MakeParts(int index, int count) {
+  ColdRateParts parts(Options(index));
+  parts.SetHosts(Hosts(count), kNow);
+  return parts;
 }
 
-TEST(ColdRateSharesTest, SharesAddUpToTheWholePartOfTheRate) {
+TEST(ColdRatePartsTest, PartsAddUpToTheWholePartOfTheRate) {
   for (const int count : {1, 2, 9, 10, 22, 122}) {
     for (const double rate : {0.0, 0.3, 1.0, 9.7, 15.0, 300.0}) {
       for (int server = 0; server < 5; ++server) {
         int sum = 0;
         for (int i = 0; i < count; ++i) {
-          const ColdRateShares shares = MakeShares(i, count);
-          sum += shares.Share(rate, shares.Rank(Server(server)));
+          const ColdRateParts parts = MakeParts(i, count);
+          sum += parts.Part(rate, parts.Rank(Server(server)));
         }
         EXPECT_EQ(sum, rate < 1 ? 1 : static_cast<int>(rate));
       }
@@ -68,17 +68,17 @@
   }
 }
 
-// The requests of hosts far away seldom reach the server, so their shares would
+// The requests of hosts far away seldom reach the server, so their parts would
 // not be used.
-TEST(ColdRateSharesTest, MostSharesGoToHostsCloseToTheServer) {
+TEST(ColdRatePartsTest, MostPartsGoToHostsCloseToTheServer) {
   constexpr int kHosts = 24;
   constexpr double kRate = 6;
   constexpr int kServers = 50;
   std::vector<int> sums(kDomains);
   for (int i = 0; i < kHosts; ++i) {
-    const ColdRateShares shares = MakeShares(i, kHosts);
+    const ColdRateParts parts = MakeParts(i, kHosts);
     for (int server = 0; server < kServers; ++server) {
-      sums[i % kDomains] += shares.Share(kRate, shares.Rank(Server(server)));
+      sums[i % kDomains] += parts.Part(kRate, parts.Rank(Server(server)));
     }
   }
   EXPECT_GT(sums[0], sums[1]);
@@ -87,84 +87,84 @@
   EXPECT_GT(sums[0] + sums[1], 2 * (sums[2] + sums[3]));
 }
 
-TEST(ColdRateSharesTest, HostWithoutAListHasNoShare) {
-  const ColdRateShares shares(Options(0));
-  EXPECT_EQ(shares.Share(10, 0), 0);
+TEST(ColdRatePartsTest, HostWithoutAListHasNoPart) {
+  const ColdRateParts parts(Options(0));
+  EXPECT_EQ(parts.Part(10, 0), 0);
   ColdRateLimiter limiter;
-  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 10, kNow), Duration::max());
+  EXPECT_EQ(limiter.TimeToSend(parts, Server(0), 10, kNow), Duration::max());
 }
 
-// A host that was restarted sent its share of a second twice.
+// A host that was restarted sent its part of a second twice.
 TEST(ColdRateLimiterTest, ColdServersWaitASecondAfterTheFirstList) {
-  ColdRateShares shares = MakeShares(0, 1);
+  ColdRateParts parts = MakeParts(0, 1);
   ColdRateLimiter limiter;
   BackendServer server = Server(0);
   server.cold_until = kNow + seconds(60);
   const auto time_to_send = [&](Instant now) {
-    return limiter.TimeToSend(shares, server, 10, now);
+    return limiter.TimeToSend(parts, server, 10, now);
   };
   EXPECT_GT(time_to_send(kNow + milliseconds(999)), Duration(0));
   EXPECT_EQ(time_to_send(kNow + seconds(1)), Duration(0));
-  shares.SetHosts(Hosts(2), kNow + seconds(5));
+  parts.SetHosts(Hosts(2), kNow + seconds(5));
   EXPECT_EQ(time_to_send(kNow + seconds(5)), Duration(0));
 }
 
 // Requests were rejected if servers broke connections just after the start.
 TEST(ColdRateLimiterTest, FailedServersNeedNotWaitAfterTheFirstList) {
-  const ColdRateShares shares = MakeShares(0, 1);
+  const ColdRateParts parts = MakeParts(0, 1);
   ColdRateLimiter limiter;
-  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 10, kNow), Duration(0));
+  EXPECT_EQ(limiter.TimeToSend(parts, Server(0), 10, kNow), Duration(0));
   limiter.RecordSend(kNow);
-  EXPECT_GT(limiter.TimeToSend(shares, Server(0), 10, kNow), Duration(0));
+  EXPECT_GT(limiter.TimeToSend(parts, Server(0), 10, kNow), Duration(0));
 }
 
-TEST(ColdRateLimiterTest, NoSecondHoldsMoreThanTheShareAfterAnIdleTime) {
-  const ColdRateShares shares = MakeShares(0, 1);
-  for (int share = 1; share <= 300; ++share) {
+TEST(ColdRateLimiterTest, NoSecondHoldsMoreThanThePartAfterAnIdleTime) {
+  const ColdRateParts parts = MakeParts(0, 1);
+  for (int part = 1; part <= 300; ++part) {
     ColdRateLimiter limiter;
     limiter.RecordSend(kNow);
     Instant now = kNow + seconds(60);
     int sent = 0;
     for (const Instant end = now + seconds(1); now <= end;) {
-      ASSERT_EQ(limiter.TimeToSend(shares, Server(0), share, now), Duration(0));
+      ASSERT_EQ(limiter.TimeToSend(parts, Server(0), part, now), Duration(0));
       limiter.RecordSend(now);
       ++sent;
-      now += limiter.TimeToSend(shares, Server(0), share, now);
+      now += limiter.TimeToSend(parts, Server(0), part, now);
     }
-    ASSERT_LE(sent, share);
+    ASSERT_LE(sent, part);
   }
 }
 
-// A host waited for the interval of the share that it had before.
+// A host waited for the interval of the part that it had before.
 TEST(ColdRateLimiterTest, ShorterIntervalAppliesAtOnce) {
-  const ColdRateShares shares = MakeShares(0, 1);
+  const ColdRateParts parts = MakeParts(0, 1);
   ColdRateLimiter limiter;
   const Instant now = kNow + seconds(2);
   limiter.RecordSend(now);
-  EXPECT_GT(limiter.TimeToSend(shares, Server(0), 1, now + milliseconds(501)),
+  EXPECT_GT(limiter.TimeToSend(parts, Server(0), 1, now + milliseconds(501)),
             Duration(0));
-  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 2, now + milliseconds(501)),
+  EXPECT_EQ(limiter.TimeToSend(parts, Server(0), 2, now + milliseconds(501)),
             Duration(0));
 }
 
 // The rank of a list that has changed stayed in use.
 TEST(ColdRateLimiterTest, NewListAppliesAtOnce) {
-  ColdRateShares shares = MakeShares(0, 1);
+  ColdRateParts parts = MakeParts(0, 1);
   ColdRateLimiter limiter;
   const Instant now = kNow + seconds(2);
-  EXPECT_EQ(limiter.TimeToSend(shares, Server(0), 1, now), Duration(0));
-  int with_share = 0;
+  EXPECT_EQ(limiter.TimeToSend(parts, Server(0), 1, now), Duration(0));
+  int with_part = 0;
   for (int server = 0; server < 20; ++server) {
     ColdRateLimiter each;
-    each.TimeToSend(shares, Server(server), 1, now);
-    shares.SetHosts(Hosts(8), now);
-    const bool first = shares.Rank(Server(server)) == 0;
-    EXPECT_EQ(each.TimeToSend(shares, Server(server), 1, now) == Duration(0),
+    each.TimeToSend(parts, Server(server), 1, now);
+    parts.SetHosts(Hosts(8), now);
+    const bool first = parts.Rank(Server(server)) == 0;
+    EXPECT_EQ(each.TimeToSend(parts, Server(server), 1, now) == Duration(0),
               first);
-    with_share += first ? 1 : 0;
-    shares.SetHosts(Hosts(1), now);
+    with_part += first ? 1 : 0;
+    parts.SetHosts(Hosts(1), now);
   }
-  EXPECT_LT(with_share, 20);
+  EXPECT_LT(with_part, 20);
 }
 
 }  // namespace
--- a/src/libheathersteer/placement.cc
+++ b/src/libheathersteer/placement.cc
@@ -228,7 +228,7 @@
     return Duration(0);
   }
   const Duration wait = state.cold_limiter.TimeToSend(
-      cold_shares_, state.server, service.cold_requests_per_s, now);
+      cold_parts_, state.server, service.cold_requests_per_s, now);
   return servers_uncertain_ ? wait : std::min(state.cold_end() - now, wait);
 }
 
@@ -305,7 +305,7 @@
   return impaired > kImpairedShare * slots;
 }
 
-void Placement::Commit(ServerState& state, const Service&, Instant now) {
+void Placement::Commit(ServerState& state, Instant now) {
   state.load.Sent();
   state.rate_limit.Take();
   // Whether the server is cold may become known only later.
--- a/src/libheathersteer/placement_test.cc
+++ b/src/libheathersteer/placement_test.cc
@@ -233,7 +233,7 @@
     tables[i].Put(cold);
   }
   for (Placement& host : hosts) {
-    host.cold_shares().SetHosts(locations, kNow);
+    host.cold_parts().SetHosts(locations, kNow);
   }
   std::vector<Instant> arrivals;
   for (Instant now = kNow; now < kNow + seconds(20); now += milliseconds(20)) {
@@ -241,7 +241,7 @@
       const PlacementRequest request = Request("7");
       const auto server = hosts[i].Choose(tables[i], request, now).server;
       if (server != nullptr) {
-        hosts[i].Commit(*server, service_, now);
+        hosts[i].Commit(*server, now);
         server->load.Finished();
         arrivals.push_back(now);
       }
@@ -395,7 +395,7 @@
 TEST_F(PlacementTest, ThePartOfAColdServerCountsFromTheWrite) {
   service_.cold_requests_per_s = 1;
   Placement placement(Options("north", "host"));
-  placement.cold_shares().SetHosts({{"host", "north", "north-a"}}, kNow);
+  placement.cold_parts().SetHosts({{"host", "north", "north-a"}}, kNow);
   BackendServer cold = MakeServer("cold", "north");
   cold.cold_until = kNow + seconds(30);
   ServerTable table;
@@ -403,7 +403,7 @@
   const Instant chosen = kNow + seconds(5);
   const auto server = placement.Choose(table, Request("key"), chosen).server;
   ASSERT_NE(server, nullptr);
-  placement.Commit(*server, service_, chosen);
+  placement.Commit(*server, chosen);
   const Instant written = chosen + milliseconds(300);
   EXPECT_TRUE(Placement::ConfirmSend(*server, true, written));
   EXPECT_EQ(placement.Choose(table, Request("key"), written + milliseconds(999))
--- a/src/libheathersteer/rate_limit_fleet_test.cc
+++ b/src/libheathersteer/rate_limit_fleet_test.cc
@@ -186,7 +186,7 @@
     request.affinity_key = key;
     const auto choice = host.placement.Choose(host.table, request, now_);
     ASSERT_NE(choice.server, nullptr);
-    host.placement.Commit(*choice.server, service_, now_);
+    host.placement.Commit(*choice.server, now_);
     choice.server->load.Finished();
     if (choice.server->server.id != kLimited) {
       return;
--- a/testsuite/deployment/start_deployment.py
+++ b/testsuite/deployment/start_deployment.py
@@ -24,6 +24,7 @@
 from caller import Caller
 from faults import Faults
 from fleet_judgement import FleetJudgement, site_bounds
+from host_machine import HostMachine
 from observed_server import CRASH_PATH, ObservedServer, Ticks
 from socket_owners import SocketOwners
 
@@ -91,17 +92,12 @@
         return config
 
     def make_hosts(self):
-        """Writes the settings of every host without starting it."""
-        start = rig.Machine.start
-        rig.Machine.start = lambda machine: None
-        try:
-            zones = [zone for group in self.site["machines"] for zone in [group["zone"]] * group["count"]]
-            for number, zone in enumerate(zones, 1):
-                settings = self.shared_address(number) if self.options.shared_address else {}
-                settings["bounds"] = site_bounds(self.site)
-                self.hosts.append(rig.Machine(self.case, number, zone, self.store.address, settings))
-        finally:
-            rig.Machine.start = start
+        """Makes every host without starting it."""
+        zones = [zone for group in self.site["machines"] for zone in [group["zone"]] * group["count"]]
+        for number, zone in enumerate(zones, 1):
+            settings = self.shared_address(number) if self.options.shared_address else {}
+            settings["bounds"] = site_bounds(self.site)
+            self.hosts.append(HostMachine(self.case, number, zone, self.store.address, settings))
         if self.options.shared_address:
             for host in self.hosts:
                 host.front, host.ready = (self.endpoint(host, name) for name in ("front", "ready"))
