--- a/review/rig2.py
+++ b/review/rig2.py
@@ -162,6 +162,8 @@
 
 def main(case, folder):
     """Runs `case(record, folder of the run, cleanups)`, which returns the faults that it saw, and exits as the issue says."""
+    # So that the processes are ended if the time of run.sh is over.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     cleanups = []
     try:
@@ -174,6 +176,9 @@
     except CannotRun as error:
         record.write(f"could not run: {error}")
         sys.exit(NOT_RUN)
+    except Exception as error:  # pylint: disable=broad-except
+        record.write(f"could not run: {type(error).__name__}: {error}")
+        sys.exit(NOT_RUN)
     for fault in faults:
         record.write(f"BROKEN: {fault}")
     if not faults:
