Ids of servers and names of hosts are values of header fields

A longer key brought a field, or a whole other request, of its own.

Cause: any key of the store became the id of a server, and heads were joined from texts as they were: the id ended the head of the request that named its target. The same id reaches heads by the field with which a host names a leaving server to a cut-off one; the name of a host, also a key, by Host of messages between hosts; and lists of hosts of an earlier build bring such ids to later ones.

Change: IsFieldValue() says what a field carries unchanged (RFC 9110, 5.5). Ids with spaces inside, separators or UTF-8 stay valid. HeadWriter writes all heads and turns line ends and NUL into spaces, so that a text that gets past the checks begins no line.

--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "heathergate/gateway.h"
+#include "heathergate/head_writer.h"
 #include "heathergate/http_exchange.h"
 #include "heathergate/http_status.h"
 #include "heathergate/pause_monitor.h"
@@ -437,7 +438,7 @@
   const HeaderNames& names = gateway_.options_.names;
   const HttpHead& head = exchange_->head();
   const std::string* connection = head.Find("Connection");
-  std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
+  auto text = HeadWriter::ForRequest(head.method, head.target);
   for (const HeaderField& field : head.fields) {
     if (IsHopByHopField(field.name, connection) ||
         SameName(field.name, names.time_left) ||
@@ -445,18 +446,17 @@
         SameName(field.name, names.detour)) {
       continue;
     }
-    text += field.name + ": " + field.value + "\r\n";
+    text.AddField(field.name, field.value);
   }
-  text += names.time_left + ": " +
-          std::to_string(std::max<std::int64_t>(1, Milliseconds(left))) +
-          "\r\n";
-  text += target.name + ": " + target.value + "\r\n";
+  text.AddField(
+      names.time_left,
+      static_cast<std::size_t>(std::max<std::int64_t>(1, Milliseconds(left))));
+  text.AddField(target.name, target.value);
   if (!exchange_->body().empty() || head.Find("Content-Length") != nullptr ||
       head.Find("Transfer-Encoding") != nullptr) {
-    text +=
-        "Content-Length: " + std::to_string(exchange_->body().size()) + "\r\n";
+    text.AddField("Content-Length", exchange_->body().size());
   }
-  return text + "\r\n";
+  return std::move(text).Finish();
 }
 
 void ForwardedRequest::OnCallDone(CallResult result) {
--- a/src/libheathergate/http_head.cc
+++ b/src/libheathergate/http_head.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <utility>
+
+#include "heathergate/head_writer.h"
 
 namespace heathergate {
 namespace {
@@ -70,8 +73,10 @@
 std::string PostHead(const std::string& path,
                      const std::string& host,
                      std::size_t body_size) {
-  return "POST " + path + " HTTP/1.1\r\nHost: " + host +
-         "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
+  auto head = HeadWriter::ForRequest("POST", path);
+  head.AddField("Host", host);
+  head.AddField("Content-Length", body_size);
+  return std::move(head).Finish();
 }
 
 }  // namespace heathergate
--- a/src/libheathergate/http_session.cc
+++ b/src/libheathergate/http_session.cc
@@ -5,6 +5,7 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "heathergate/head_writer.h"
 #include "heathergate/http_status.h"
 #include "heathergate/pause_monitor.h"
 #include "heathernet/event_loop.h"
@@ -356,10 +357,10 @@
                        owner_.leaving() ||
                        (read_ended_ && pending_input_.empty());
   probe_timer_.Cancel();
-  output_head_ = "HTTP/1.1 " + std::to_string(response.status) + " " +
-                 ReasonPhrase(response.status) + "\r\n";
+  auto head =
+      HeadWriter::ForResponse(response.status, ReasonPhrase(response.status));
   for (const HeaderField& field : response.fields) {
-    output_head_ += field.name + ": " + field.value + "\r\n";
+    head.AddField(field.name, field.value);
   }
   if (HasBody(response.status)) {
     std::string length = std::to_string(response.body.size());
@@ -367,16 +368,16 @@
       length = response.head_length.value_or(length);
     }
     if (!length.empty()) {
-      output_head_ += "Content-Length: " + length + "\r\n";
+      head.AddField("Content-Length", length);
     }
   }
   if (close_after_write_) {
-    output_head_ += "Connection: close\r\n";
+    head.AddField("Connection", "close");
   } else if (!accepts_interim_) {
     // HTTP/1.0 callers otherwise wait for the end of the connection.
-    output_head_ += "Connection: keep-alive\r\n";
+    head.AddField("Connection", "keep-alive");
   }
-  output_head_ += "\r\n";
+  output_head_ = std::move(head).Finish();
   if (HasBody(response.status) && !head_request_) {
     output_body_ = std::move(response.body);
   }
--- a/src/libheathergate/leaving_server_field.cc
+++ b/src/libheathergate/leaving_server_field.cc
@@ -10,7 +10,7 @@
 
 std::optional<LeavingServerField> LeavingServerField::Parse(
     const std::string& text) {
-  // An id may hold any character.
+  // An id may hold a semicolon.
   const std::size_t separator = text.find(';');
   LeavingServerField field;
   if (separator == std::string::npos || separator + 1 == text.size() ||
--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -1,10 +1,14 @@
 #include "libheathergate/relay_codec.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "heathergate/field_value.h"
+
 namespace heathergate {
 namespace {
 
@@ -141,8 +145,17 @@
 ServerDelta ToDelta(const json& value, Instant now) {
   ServerDelta delta;
   delta.full = value.at("whole").get<bool>();
-  for (const json& server : value.at("changed")) {
-    delta.changed.push_back(ToServer(server, now));
+  for (const json& entry : value.at("changed")) {
+    BackendServer server = ToServer(entry, now);
+    // Hosts of earlier builds pass on ids of any text.
+    if (IsFieldValue(server.id)) {
+      delta.changed.push_back(std::move(server));
+    } else {
+      spdlog::warn(
+          "backend server ignored: id \"{}\" in another host's list is no "
+          "value of a header field",
+          server.id);
+    }
   }
   delta.removed = value.at("removed").get<std::vector<std::string>>();
   return delta;
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -124,6 +124,21 @@
   EXPECT_EQ(decoded->suspects.back().cleared_at, seconds(0));
 }
 
+// A host of an earlier build passes on every key of the store as an id.
+TEST(RelayCodecTest, ServersWithIdsThatNoFieldCarriesAreLeftOut) {
+  RelayResponse response;
+  response.servers.emplace();
+  for (const char* id : {"i-1", "i-1\n", "i-1\r\nX: y", "", "i 1"}) {
+    response.servers->changed.emplace_back().id = id;
+  }
+  const auto decoded =
+      DecodeResponse(EncodeResponse(response, seconds(1)), seconds(1));
+  ASSERT_TRUE(decoded);
+  ASSERT_EQ(decoded->servers->changed.size(), 2U);
+  EXPECT_EQ(decoded->servers->changed.front().id, "i-1");
+  EXPECT_EQ(decoded->servers->changed.back().id, "i 1");
+}
+
 TEST(RelayCodecTest, PartsWithoutUpdateStayAbsent) {
   const auto decoded =
       DecodeResponse(EncodeResponse(RelayResponse{}, seconds(1)), seconds(1));
--- /dev/null
+++ b/testsuite/gateway/foreign_entry_test.py
@@ -0,0 +1,54 @@
+import unittest
+
+from gateway_harness import GatewayTestCase
+from standins import REQUEST_ID, TARGET
+
+KEYS = 24
+BODY = b"payload"
+# Ids that no header field carries as they are.
+UNSOUND_KEYS = [
+    "i-1\n", "i-1\r", "i-1\r\n", "\ni-1", "i-1\r\nX-Added: 1", "i-1\x00", "i-1 ", " i-1", "i-1\t", "",
+    f"i-1\r\nContent-Length: 0\r\n\r\nPOST /w/other HTTP/1.1\r\n{REQUEST_ID}: unasked",
+]
+# Ids that a server may have.
+SOUND_IDS = ["i 1", "i,1;q=\"1\"", "i\\n1"]
+
+
+class ForeignEntryTest(GatewayTestCase):
+    """Entries that another writer put in the list of servers changed requests on their way, and lines of the log."""
+
+    def send(self, host):
+        return {f"r{key}": host.request(f"/w/{key}", "POST", BODY, request_id=f"r{key}", key=str(key)) for key in range(KEYS)}
+
+    # The id of a server ended the head of the requests to it, so that orders ran with an empty body, or others ran.
+    def test_requests_reach_servers_unchanged_beside_keys_with_line_ends(self):
+        backends = {name: self.backend(name) for name in ("i-1", "i-2")}
+        for key in UNSOUND_KEYS:
+            self.store.put("servers", key, backends["i-1"].row())
+        host = self.started_host()
+        for name in backends:
+            host.await_log(f"backend server {name} ")
+        results = self.send(host)
+        self.assertEqual({request_id: result[0] for request_id, result in results.items()}, dict.fromkeys(results, 200))
+        for name, backend in backends.items():
+            for line, headers, body in backend.seen:
+                request_id = headers[REQUEST_ID.lower()]
+                self.assertEqual((line, body), (f"POST /w/{request_id[1:]} HTTP/1.1", BODY))
+                self.assertEqual(headers[TARGET.lower()], name)
+                self.assertNotIn("x-added", headers)
+        runs = [request_id for backend in backends.values() for request_id in backend.runs]
+        self.assertEqual(sorted(runs), sorted(results))
+
+    def test_server_with_an_unusual_id_gets_requests(self):
+        for name in SOUND_IDS:
+            backend = self.backend(name)
+            host = self.started_host(f"h{SOUND_IDS.index(name)}")
+            results = self.send(host)
+            self.assertEqual({result[0] for result in results.values()}, {200})
+            self.assertEqual({request[1][TARGET.lower()] for request in backend.seen}, {name})
+            host.stop()
+            self.store.delete("servers", name)
+
+
+if __name__ == "__main__":
+    unittest.main()
