Log messages stay one line, whatever texts they hold

What was seen: a key or field with a line end in an entry of the list of servers began lines of its own in the log of every host, of any content: 7 forged lines of five entries. On-call engineers have only that log.

Cause: messages were written as they were formatted.

Change: LineFormatter escapes line ends and control characters, the ones of Unicode included, in every message of all programs.

Evidence: foreign_entry_test, test_no_entry_begins_a_line_of_the_log, fails before and holds now.

--- a/src/libheathergate/log_buffer.cc
+++ b/src/libheathergate/log_buffer.cc
@@ -10,6 +10,7 @@
 
 #include "heathergate/timer.h"
 #include "heathernet/event_loop.h"
+#include "libheathernet/line_formatter.h"
 #include "libheathernet/output_writer.h"
 
 namespace heathergate {
@@ -98,7 +99,7 @@
 LogBuffer::LogBuffer(EventLoop& loop, int descriptor)
     : sink_(std::make_shared<Sink>(loop, descriptor)) {
   auto logger = std::make_shared<spdlog::logger>("", sink_);
-  logger->set_pattern(kPattern);
+  logger->set_formatter(std::make_unique<heathernet::LineFormatter>(kPattern));
   spdlog::set_default_logger(logger);
 }
 
--- a/src/libheathernet/log.cc
+++ b/src/libheathernet/log.cc
@@ -3,14 +3,21 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "libheathernet/line_formatter.h"
+
 namespace heathernet {
+namespace {
+
+constexpr const char* kPattern = "%Y-%m-%dT%H:%M:%S.%e %L [%n] %v";
+
+}  // namespace
 
 std::shared_ptr<spdlog::logger> PartLogger(const std::string& part) {
   if (auto existing = spdlog::get(part)) {
     return existing;
   }
   auto logger = spdlog::stderr_logger_mt(part);
-  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %L [%n] %v");
+  logger->set_formatter(std::make_unique<LineFormatter>(kPattern));
   return logger;
 }
 
--- a/testsuite/gateway/foreign_entry_test.py
+++ b/testsuite/gateway/foreign_entry_test.py
@@ -49,6 +49,21 @@
             host.stop()
             self.store.delete("servers", name)
 
+    # On-call engineers read lines that the key of an entry had made up.
+    def test_no_entry_begins_a_line_of_the_log(self):
+        forged = "forged: host h1 stopped"
+        backend = self.backend("i-1")
+        self.store.put("servers", f"i-2\n{forged}\r{forged}\u2028{forged}", backend.row())
+        self.store.put("servers", "i-3", {**backend.row(), "state": f"odd\n{forged}"})
+        self.store.put("servers", "i-4", {**backend.row(), "zone": f"odd\n{forged}"})
+        self.store.put("servers", f"i-5\n{forged}", b"\xff")
+        self.store.put("servers", "i-6", {**backend.row(), "service": f"odd\n{forged}"})
+        host = self.started_host()
+        host.await_log("backend server i-6 ")
+        text = "".join(host.history)
+        self.assertGreaterEqual(text.count(forged), 5)
+        self.assertEqual([line for line in text.splitlines() if line.startswith(forged)], [])
+
 
 if __name__ == "__main__":
     unittest.main()
