A report that the store performs late doesn't replace a later one

What callers saw: a backend server drained; the store then performed an earlier report of it, `ready`, and hosts used the server again over the time of a drain after it had said that it leaves.

Cause: reports of one server were compared only between timelines of the store. Within one timeline the entry that was read last counted as the latest report, also where it named a start before the one that is known, or a server that had left. Lists from other hosts were merged in the same way.

Change: ReportHistory keeps what a host knows of each id's reports beyond the removal of its entry, and every way to the list asks it. A report that comes before the known one, by start time and number, or is of a start that another has followed, is ignored. As clocks may lie behind, such a start is taken over once two further reports of it have been listed, or its entry has stayed for 10 s, in which the entries of silent servers go. Until then the known start counts as cold if the report says so. A host passes on which start another one succeeds, so that its followers need no proof of their own; hosts of earlier builds neither send nor read the field.

--- a/src/include/heathersteer/backend_server.h
+++ b/src/include/heathersteer/backend_server.h
@@ -28,6 +28,9 @@
   /// Sequence number of the server's report about itself; starts anew with each
   /// incarnation.
   std::int64_t report_sequence = 0;
+  /// Start time of the incarnation before this one if the clocks of the two
+  /// differ so that it is later than this one's; 0 otherwise.
+  std::int64_t succeeds_ms = 0;
 
   bool operator==(const BackendServer&) const = default;
 };
--- /dev/null
+++ b/src/include/heathersteer/report_history.h
@@ -0,0 +1,72 @@
+#ifndef HEATHERSTEER_REPORT_HISTORY_H_
+#define HEATHERSTEER_REPORT_HISTORY_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "heatherlever/instant.h"
+#include "heathersteer/backend_server.h"
+
+namespace heathersteer {
+
+/// The reports of one id, as far as they tell the current report of its server
+/// from an earlier one that the store lists later. An earlier one is accepted
+/// once the server that sent it has shown that it runs.
+class ReportHistory {
+ public:
+  explicit ReportHistory(const BackendServer& first);
+
+  /// Takes a report that is listed as of `now` in a timeline of the store.
+  /// Returns whether it is the current one.
+  bool Accept(const BackendServer& report,
+              std::uint64_t timeline,
+              heatherlever::Instant now);
+
+  /// Accepts and returns the late report that is still listed, if it has been
+  /// listed for so long that its server runs.
+  std::optional<BackendServer> AcceptOverdue(heatherlever::Instant now);
+
+  /// Records that the id is not listed any more.
+  void RecordRemoval(std::uint64_t timeline, heatherlever::Instant now);
+
+  /// Records that no late report is listed.
+  void ForgetLateReport() { late_.reset(); }
+
+  /// Start time of the incarnation before the current one if that is later
+  /// than the current one's, as clocks differ; 0 otherwise.
+  std::int64_t succeeds_ms() const { return succeeds_ms_; }
+
+  /// Time of the last removal; nothing while the id is listed.
+  std::optional<heatherlever::Instant> removed_at() const;
+
+ private:
+  struct Removal {
+    std::uint64_t timeline = 0;
+    heatherlever::Instant at{0};
+  };
+
+  // A report that is earlier than the current one by its numbers.
+  struct Late {
+    BackendServer report;
+    heatherlever::Instant listed_since{0};
+    // Number of further reports of the same incarnation that were listed.
+    int further_reports = 0;
+  };
+
+  bool Precedes(const BackendServer& report, std::uint64_t timeline) const;
+  bool ShowsThatItRuns(const BackendServer& report, heatherlever::Instant now);
+  void Take(const BackendServer& report);
+
+  std::int64_t started_ms_ = 0;
+  std::int64_t sequence_ = 0;
+  std::int64_t succeeds_ms_ = 0;
+  // Start times of incarnations before the current one, the last one last.
+  std::vector<std::int64_t> ended_starts_ms_;
+  std::optional<Removal> removal_;
+  std::optional<Late> late_;
+};
+
+}  // namespace heathersteer
+
+#endif  // HEATHERSTEER_REPORT_HISTORY_H_
--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -10,6 +10,7 @@
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
 #include "heathersteer/listing.h"
+#include "heathersteer/report_history.h"
 #include "heathersteer/server_delta.h"
 
 namespace heathersteer {
@@ -17,7 +18,7 @@
 /// The platform's list of backend servers. Servers that the store lost in an
 /// outage, or by a restore from an older copy, stay listed until they had time
 /// to register again; until then the list counts as known as of before. Reports
-/// that only the older copy brings back are ignored.
+/// that an older copy brings back, or that the store lists late, are ignored.
 class ServerList {
  public:
   /// Takes over a full list that this host read from the store. Returns whether
@@ -37,8 +38,9 @@
              std::uint64_t timeline,
              heatherlever::Instant known_at);
 
-  /// Records that another host confirmed its list as of `known_at`.
-  void Confirm(heatherlever::Instant known_at);
+  /// Records that another host confirmed its list as of `known_at`. Returns
+  /// whether this changes a server.
+  bool Confirm(heatherlever::Instant known_at);
 
   std::vector<BackendServer> servers() const;
 
@@ -53,34 +55,20 @@
   std::uint64_t timeline() const { return timeline_; }
 
  private:
-  // What a server reported, and the newest timeline in which it was listed.
-  struct Entry {
-    BackendServer server;
-    std::uint64_t timeline = 0;
-  };
-
-  // The last report of a server that is no longer listed.
-  struct Removed {
-    std::int64_t started_ms = 0;
-    std::int64_t report_sequence = 0;
-    std::uint64_t timeline = 0;
-    heatherlever::Instant removed_at{0};
-    // First time at which an older copy of the store listed it again.
-    std::optional<heatherlever::Instant> relisted_at;
-  };
-
   bool Merge(const Listing<BackendServer>& list, heatherlever::Instant now);
+  bool Put(const BackendServer& report);
+  bool LimitForLateReport(const BackendServer& report);
+  bool AcceptOverdue(heatherlever::Instant now);
   bool DropMissing(const Listing<BackendServer>& list,
                    heatherlever::Instant now);
-  void Remove(std::map<std::string, Entry>::iterator entry,
+  bool Remove(const std::string& id,
               std::uint64_t timeline,
               heatherlever::Instant now);
-  bool IsRemovedReport(const BackendServer& server,
-                       std::uint64_t timeline,
-                       heatherlever::Instant now);
+  void TrimRemoved(heatherlever::Instant now);
 
-  std::map<std::string, Entry> by_id_;
-  std::map<std::string, Removed> removed_;
+  std::map<std::string, BackendServer> by_id_;
+  // Of listed servers, and of those that were removed lately.
+  std::map<std::string, ReportHistory> histories_;
   std::uint64_t timeline_ = 0;
   heatherlever::Instant known_at_{0};
   // Time of the first read after an outage or a restore.
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -276,8 +276,8 @@
   }
   ApplyOperatorState(response);
   const Instant known_at = EventLoop::Now() - response.age;
-  if (response.same_list) {
-    servers_.Confirm(known_at);
+  if (response.same_list && servers_.Confirm(known_at)) {
+    OnServersChanged();
   }
   if (response.servers &&
       servers_.Apply(*response.servers, response.timeline, known_at)) {
@@ -520,7 +520,10 @@
     }
     list_diverged_ = true;
   } else if (!list_diverged_) {
-    servers_.Confirm(known_at);
+    if (servers_.Confirm(known_at)) {
+      OnServersChanged();
+      list_diverged_ = false;
+    }
     return;
   }
   if (newer) {
--- a/src/libheathergate/relay_codec.cc
+++ b/src/libheathergate/relay_codec.cc
@@ -49,17 +49,21 @@
 
 json FromServer(const BackendServer& server, Instant now) {
   const Duration cold = std::max(Duration(0), server.cold_until - now);
-  return {{"id", server.id},
-          {"service", server.service},
-          {"address", server.address},
-          {"port", server.port},
-          {"region", server.region},
-          {"domain", server.domain},
-          {"slots", server.slots},
-          {"draining", server.draining},
-          {"cold_us", cold.count()},
-          {"started_ms", server.started_ms},
-          {"report", server.report_sequence}};
+  json value = {{"id", server.id},
+                {"service", server.service},
+                {"address", server.address},
+                {"port", server.port},
+                {"region", server.region},
+                {"domain", server.domain},
+                {"slots", server.slots},
+                {"draining", server.draining},
+                {"cold_us", cold.count()},
+                {"started_ms", server.started_ms},
+                {"report", server.report_sequence}};
+  if (server.succeeds_ms != 0) {
+    value["succeeds_ms"] = server.succeeds_ms;
+  }
+  return value;
 }
 
 BackendServer ToServer(const json& value, Instant now) {
@@ -78,6 +82,8 @@
                           : Instant{0};
   server.started_ms = value.at("started_ms").get<std::int64_t>();
   server.report_sequence = value.at("report").get<std::int64_t>();
+  // Hosts of earlier builds don't send it.
+  server.succeeds_ms = value.value("succeeds_ms", std::int64_t{0});
   return server;
 }
 
--- a/src/libheathergate/relay_codec_test.cc
+++ b/src/libheathergate/relay_codec_test.cc
@@ -24,6 +24,7 @@
   server.id = "i-1";
   server.cold_until = seconds(13);
   server.report_sequence = 5;
+  server.succeeds_ms = 11;
   response.servers = {.full = false, .changed = {server}, .removed = {"i-2"}};
   response.operator_state = {.version = {.timeline = 3, .number = 60},
                              .document = "{\"version\":7}",
@@ -46,6 +47,7 @@
   EXPECT_FALSE(decoded->servers->full);
   EXPECT_EQ(decoded->servers->changed.front().cold_until, seconds(503));
   EXPECT_EQ(decoded->servers->changed.front().report_sequence, 5);
+  EXPECT_EQ(decoded->servers->changed.front().succeeds_ms, 11);
   EXPECT_EQ(decoded->registration_version, response.registration_version);
   EXPECT_TRUE(decoded->registration_lost);
   EXPECT_EQ(decoded->timeline, 3U);
@@ -139,6 +141,25 @@
   EXPECT_EQ(decoded->servers->changed.back().id, "i 1");
 }
 
+// As build f42e1d9 writes it, and reads it.
+TEST(RelayCodecTest, ServersOfEarlierBuildsHaveNoStartThatTheySucceed) {
+  const std::string server =
+      R"({"address":"127.0.0.1","cold_us":0,"domain":"d-a","draining":true,)"
+      R"("id":"i-1","port":80,"region":"r","report":5,"service":"s",)"
+      R"("slots":3,"started_ms":9})";
+  const std::string text =
+      R"({"age_us":0,"hosts":2,"instance":"one","joined":[1,2],)"
+      R"("live_sequence":0,"lost":false,"operator_sequence":0,)"
+      R"("same_list":false,"servers":{"changed":[)" +
+      server + R"(],"removed":[],"whole":true},"servers_sequence":0,)" +
+      R"("suspects_sequence":0,"timeline":1})";
+  const auto decoded = DecodeResponse(text, seconds(1));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->servers->changed.front().report_sequence, 5);
+  EXPECT_EQ(decoded->servers->changed.front().succeeds_ms, 0);
+  EXPECT_EQ(EncodeResponse(*decoded, seconds(1)), text);
+}
+
 TEST(RelayCodecTest, PartsWithoutUpdateStayAbsent) {
   const auto decoded =
       DecodeResponse(EncodeResponse(RelayResponse{}, seconds(1)), seconds(1));
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <iterator>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace heathersteer {
@@ -20,9 +18,6 @@
 constexpr Duration kReregistrationTime = std::chrono::milliseconds(2000);
 // Differences in the end of the cold start up to this come from delays.
 constexpr Duration kColdUntilTolerance = std::chrono::milliseconds(300);
-// The platform removes the entries of silent servers within this time, so a
-// server that stays listed for longer is running.
-constexpr Duration kSilentEntryTime = std::chrono::seconds(10);
 // Removed servers are remembered for this time, which bounds the age of the
 // copies from which a restore is noticed, and up to this number.
 constexpr Duration kRemovedServerTime = std::chrono::minutes(5);
@@ -36,12 +31,6 @@
   return SameState(a, b);
 }
 
-// Whether `a` was reported before `b`.
-bool PrecedesReport(const BackendServer& a, const BackendServer& b) {
-  return std::tie(a.started_ms, a.report_sequence) <
-         std::tie(b.started_ms, b.report_sequence);
-}
-
 }  // namespace
 
 bool ServerList::Update(const Listing<BackendServer>& read, Instant now) {
@@ -91,40 +80,72 @@
   recovered_at_.reset();
   Merge(changed, known_at);
   for (const std::string& id : delta.removed) {
-    const auto entry = by_id_.find(id);
-    if (entry != by_id_.end()) {
-      Remove(entry, timeline, known_at);
-    }
+    Remove(id, timeline, known_at);
   }
+  TrimRemoved(known_at);
+  // What was listed before and is not in the delta is still listed.
+  AcceptOverdue(known_at);
   return true;
 }
 
-void ServerList::Confirm(Instant known_at) {
-  known_at_ = std::max(known_at_, known_at);
+bool ServerList::Confirm(Instant known_at) {
+  if (known_at < known_at_) {
+    return false;
+  }
+  known_at_ = known_at;
+  return AcceptOverdue(known_at);
 }
 
 bool ServerList::Merge(const Listing<BackendServer>& list, Instant now) {
   bool changed = false;
-  for (const BackendServer& server : list.entries) {
-    const auto known = by_id_.find(server.id);
-    if (known == by_id_.end()) {
-      if (!IsRemovedReport(server, list.timeline, now)) {
-        by_id_[server.id] = {server, list.timeline};
-        changed = true;
-      }
-      continue;
+  for (const BackendServer& report : list.entries) {
+    const auto history = histories_.find(report.id);
+    if (history == histories_.end()) {
+      histories_.emplace(report.id, ReportHistory(report));
+      changed = Put(report) || changed;
+    } else if (history->second.Accept(report, list.timeline, now)) {
+      changed = Put(report) || changed;
+    } else {
+      changed = LimitForLateReport(report) || changed;
     }
-    Entry& entry = known->second;
-    if (list.timeline > entry.timeline &&
-        PrecedesReport(server, entry.server)) {
-      continue;
-    }
-    if (!EqualExceptColdUntil(entry.server, server)) {
-      entry.server = server;
-      changed = true;
+  }
+  return changed;
+}
+
+bool ServerList::Put(const BackendServer& report) {
+  BackendServer server = report;
+  server.succeeds_ms = histories_.at(report.id).succeeds_ms();
+  const auto [entry, added] = by_id_.try_emplace(report.id, server);
+  if (added) {
+    return true;
+  }
+  BackendServer& known = entry->second;
+  if (EqualExceptColdUntil(known, server)) {
+    known.report_sequence = server.report_sequence;
+    return false;
+  }
+  known = std::move(server);
+  return true;
+}
+
+// A report of an earlier incarnation may be that of a later one with a slow
+// clock, which is cold.
+bool ServerList::LimitForLateReport(const BackendServer& report) {
+  const auto known = by_id_.find(report.id);
+  if (known == by_id_.end() || known->second.started_ms == report.started_ms ||
+      report.cold_until <= known->second.cold_until + kColdUntilTolerance) {
+    return false;
+  }
+  known->second.cold_until = report.cold_until;
+  return true;
+}
+
+bool ServerList::AcceptOverdue(Instant now) {
+  bool changed = false;
+  for (auto& [id, history] : histories_) {
+    if (const auto report = history.AcceptOverdue(now)) {
+      changed = Put(*report) || changed;
     }
-    entry.server.report_sequence = server.report_sequence;
-    entry.timeline = list.timeline;
   }
   return changed;
 }
@@ -135,55 +156,43 @@
     present.insert(server.id);
   }
   bool dropped = false;
-  for (auto entry = by_id_.begin(); entry != by_id_.end();) {
-    const auto next = std::next(entry);
-    if (!present.contains(entry->first)) {
-      Remove(entry, list.timeline, now);
-      dropped = true;
+  for (const auto& [id, history] : histories_) {
+    if (!present.contains(id)) {
+      dropped = Remove(id, list.timeline, now) || dropped;
     }
-    entry = next;
   }
+  TrimRemoved(now);
   return dropped;
 }
 
-void ServerList::Remove(std::map<std::string, Entry>::iterator entry,
+bool ServerList::Remove(const std::string& id,
                         std::uint64_t timeline,
                         Instant now) {
-  std::erase_if(removed_, [&](const auto& other) {
-    return now - other.second.removed_at > kRemovedServerTime;
-  });
-  if (removed_.size() >= kMaxRemovedServers) {
-    removed_.erase(std::min_element(
-        removed_.begin(), removed_.end(), [](const auto& a, const auto& b) {
-          return a.second.removed_at < b.second.removed_at;
-        }));
-  }
-  const BackendServer& server = entry->second.server;
-  removed_[entry->first] = {.started_ms = server.started_ms,
-                            .report_sequence = server.report_sequence,
-                            .timeline = timeline,
-                            .removed_at = now,
-                            .relisted_at = std::nullopt};
-  by_id_.erase(entry);
-}
-
-bool ServerList::IsRemovedReport(const BackendServer& server,
-                                 std::uint64_t timeline,
-                                 Instant now) {
-  const auto found = removed_.find(server.id);
-  if (found == removed_.end()) {
+  const auto history = histories_.find(id);
+  if (history == histories_.end()) {
     return false;
   }
-  Removed& removed = found->second;
-  const bool precedes = std::tie(server.started_ms, server.report_sequence) <=
-                        std::tie(removed.started_ms, removed.report_sequence);
-  if (timeline > removed.timeline && precedes &&
-      now - removed.relisted_at.value_or(now) <= kSilentEntryTime) {
-    removed.relisted_at = removed.relisted_at.value_or(now);
-    return true;
+  history->second.ForgetLateReport();
+  if (by_id_.erase(id) == 0) {
+    return false;
+  }
+  history->second.RecordRemoval(timeline, now);
+  return true;
+}
+
+void ServerList::TrimRemoved(Instant now) {
+  std::erase_if(histories_, [&](const auto& entry) {
+    const auto removed_at = entry.second.removed_at();
+    return removed_at && now - *removed_at > kRemovedServerTime;
+  });
+  while (histories_.size() > by_id_.size() + kMaxRemovedServers) {
+    const auto order = [](const auto& a, const auto& b) {
+      return a.second.removed_at().value_or(Instant::max()) <
+             b.second.removed_at().value_or(Instant::max());
+    };
+    histories_.erase(
+        std::min_element(histories_.begin(), histories_.end(), order));
   }
-  removed_.erase(found);
-  return false;
 }
 
 Duration ServerList::reregistration_time_left(Instant now) const {
@@ -195,8 +204,8 @@
 
 std::vector<BackendServer> ServerList::servers() const {
   std::vector<BackendServer> list;
-  for (const auto& [id, entry] : by_id_) {
-    list.push_back(entry.server);
+  for (const auto& [id, server] : by_id_) {
+    list.push_back(server);
   }
   return list;
 }
--- a/src/libheathersteer/server_list_test.cc
+++ b/src/libheathersteer/server_list_test.cc
@@ -175,5 +175,160 @@
   EXPECT_EQ(Count(list), 0U);
 }
 
+// The store performed a report late, and a server that drained was used again.
+TEST(ServerListTest, AnEarlierReportDoesNotReplaceALaterOne) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 2)}), kStart + seconds(1)));
+  EXPECT_TRUE(list.servers().front().draining);
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 3)}), kStart + seconds(2)));
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 4)}), kStart + seconds(3)));
+  EXPECT_TRUE(list.servers().front().draining);
+  EXPECT_EQ(list.servers().front().report_sequence, 5);
+}
+
+TEST(ServerListTest, AServerThatDrainedAndIsReadyAgainIsTakenOver) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  EXPECT_TRUE(list.Update(List({Reported("a", 7, 6)}), kStart + seconds(1)));
+  EXPECT_FALSE(list.servers().front().draining);
+}
+
+TEST(ServerListTest, AnEarlierReportDoesNotListAServerThatLeft) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  list.Update(List({}), kStart + seconds(1));
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 2)}), kStart + seconds(2)));
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 4)}), kStart + seconds(4)));
+  EXPECT_EQ(Count(list), 0U);
+}
+
+TEST(ServerListTest, AServerThatWasSilentIsListedWithItsNextReport) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5)}), kStart);
+  list.Update(List({}), kStart + seconds(1));
+  EXPECT_TRUE(list.Update(List({Reported("a", 7, 6)}), kStart + seconds(2)));
+  EXPECT_EQ(Count(list), 1U);
+}
+
+TEST(ServerListTest, AStartWhoseCountsBeginAnewIsTakenOverAtOnce) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  EXPECT_TRUE(list.Update(List({Reported("a", 8, 1)}), kStart + seconds(1)));
+  EXPECT_FALSE(list.servers().front().draining);
+  list.Update(List({}), kStart + seconds(2));
+  EXPECT_TRUE(list.Update(List({Reported("a", 9, 1)}), kStart + seconds(3)));
+  EXPECT_EQ(Count(list), 1U);
+}
+
+TEST(ServerListTest, AReportOfTheStartBeforeDoesNotReplaceThatOfTheNext) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5)}), kStart);
+  list.Update(List({Reported("a", 8, 1, true)}), kStart + seconds(1));
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 6)}), kStart + seconds(2)));
+  list.Update(List({Reported("a", 8, 2, true)}), kStart + seconds(3));
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 7)}), kStart + seconds(4)));
+  EXPECT_TRUE(list.servers().front().draining);
+  // Nor does it list the server after it left.
+  list.Update(List({}), kStart + seconds(5));
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 8)}), kStart + seconds(6)));
+  EXPECT_EQ(Count(list), 0U);
+}
+
+// Reports of a start that goes on tell it from a late report.
+TEST(ServerListTest, AStartWithAClockBehindThatOfTheLastIsTakenOver) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  EXPECT_FALSE(list.Update(List({Reported("a", 3, 1)}), kStart + seconds(1)));
+  EXPECT_FALSE(list.Update(List({Reported("a", 3, 1)}), kStart + seconds(2)));
+  EXPECT_FALSE(list.Update(List({Reported("a", 3, 2)}), kStart + seconds(3)));
+  EXPECT_TRUE(list.Update(List({Reported("a", 3, 3)}), kStart + seconds(4)));
+  EXPECT_EQ(list.servers().front().started_ms, 3);
+  EXPECT_EQ(list.servers().front().succeeds_ms, 7);
+  // A late report of the start before it has the higher start time.
+  EXPECT_FALSE(list.Update(List({Reported("a", 7, 6)}), kStart + seconds(5)));
+  EXPECT_TRUE(list.Update(List({Reported("a", 5, 1)}), kStart + seconds(6)));
+  EXPECT_EQ(list.servers().front().succeeds_ms, 7);
+}
+
+TEST(ServerListTest, AStartWithAClockBehindIsListedAfterTheLastHasLeft) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  list.Update(List({}), kStart + seconds(1));
+  for (int sequence = 1; sequence <= 3; ++sequence) {
+    EXPECT_EQ(Count(list), 0U);
+    list.Update(List({Reported("a", 3, sequence)}),
+                kStart + seconds(1 + sequence));
+  }
+  EXPECT_EQ(Count(list), 1U);
+}
+
+// It may be that of a new start, which more requests would end.
+TEST(ServerListTest, AServerCountsAsColdWhileAnotherStartMayFollowIt) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5)}), kStart);
+  BackendServer started = Reported("a", 3, 1);
+  started.cold_until = kStart + seconds(4);
+  EXPECT_TRUE(list.Update(List({started}), kStart + seconds(1)));
+  EXPECT_EQ(list.servers().front().cold_until, kStart + seconds(4));
+  EXPECT_EQ(list.servers().front().started_ms, 7);
+}
+
+TEST(ServerListTest, CountsOfAServerWithoutAStartTimeMayBeginAnew) {
+  ServerList list;
+  list.Update(List({Reported("a", 0, 5, true)}), kStart);
+  for (int sequence = 1; sequence <= 3; ++sequence) {
+    EXPECT_TRUE(list.servers().front().draining);
+    list.Update(List({Reported("a", 0, sequence)}), kStart + seconds(sequence));
+  }
+  EXPECT_FALSE(list.servers().front().draining);
+}
+
+// The host that this one follows may not know the report that came before.
+TEST(ServerListTest, AnEarlierReportFromAnotherHostDoesNotReplaceALaterOne) {
+  ServerList list;
+  list.Mirror(List({Reported("a", 7, 5, true)}), kStart);
+  list.Apply({.full = false, .changed = {Reported("a", 7, 2)}, .removed = {}},
+             1, kStart + seconds(1));
+  EXPECT_TRUE(list.servers().front().draining);
+  list.Mirror(List({Reported("a", 7, 2)}), kStart + seconds(2));
+  EXPECT_TRUE(list.servers().front().draining);
+}
+
+// A follower gets a change once, and no report that changes nothing.
+TEST(ServerListTest, AnEarlierReportThatStaysInAnotherHostsListIsTakenOver) {
+  ServerList list;
+  list.Mirror(List({Reported("a", 7, 5, true)}), kStart);
+  list.Apply({.full = false, .changed = {Reported("a", 3, 1)}, .removed = {}},
+             1, kStart + seconds(1));
+  EXPECT_FALSE(list.Confirm(kStart + seconds(11)));
+  EXPECT_TRUE(list.Confirm(kStart + milliseconds(11001)));
+  EXPECT_EQ(list.servers().front().started_ms, 3);
+}
+
+TEST(ServerListTest, AStartThatAnotherHostFoundToSucceedIsTakenOverAtOnce) {
+  ServerList list;
+  list.Mirror(List({Reported("a", 7, 5, true)}), kStart);
+  BackendServer started = Reported("a", 3, 3);
+  started.succeeds_ms = 7;
+  list.Apply({.full = false, .changed = {started}, .removed = {}}, 1,
+             kStart + seconds(1));
+  EXPECT_EQ(list.servers().front().started_ms, 3);
+  EXPECT_EQ(list.servers().front().succeeds_ms, 7);
+}
+
+TEST(ServerListTest, ALateReportThatIsRemovedIsNotTakenOverLater) {
+  ServerList list;
+  list.Mirror(List({Reported("a", 7, 5, true)}), kStart);
+  list.Apply({.full = false, .changed = {}, .removed = {"a"}}, 1,
+             kStart + seconds(1));
+  list.Apply({.full = false, .changed = {Reported("a", 7, 2)}, .removed = {}},
+             1, kStart + seconds(2));
+  list.Apply({.full = false, .changed = {}, .removed = {"a"}}, 1,
+             kStart + seconds(3));
+  EXPECT_FALSE(list.Confirm(kStart + seconds(20)));
+  EXPECT_EQ(Count(list), 0U);
+}
+
 }  // namespace
 }  // namespace heathersteer
