A response without a status of HTTP is no answer

What callers saw: statuses 600, 700 and 999 were passed on with the server's signature.

Cause: the reader took any number. Below 200 it counted as an interim response, so that a final one was waited for; the rest counted as a server's failure.

Change: the reader takes a status of three digits from 100 to 599 (RFC 9110, 15), and no 101, as no request offers another protocol. Any other response is malformed: its connection is closed with what follows on it, the request counts as one that may have run, so that an order gets 502 at once and a read goes to another server. All responses are read there, also those of other hosts.

--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -214,7 +214,8 @@
       return;
     }
     if (status != ReadStatus::kComplete) {
-      Fail("the response is malformed or too large");
+      Fail("the response is malformed or too large, status " +
+           std::to_string(reader_.head().status));
       return;
     }
     unexpected_input_ = unexpected_input_ || !data.empty();
--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -19,6 +19,8 @@
   HttpHead head;
   std::string body;
   std::size_t head_bytes = 0;
+  // What has been received of the start line, up to kMaxStatusBytes.
+  std::string start_line;
   bool started = false;
   bool in_value = false;
   bool head_complete = false;
@@ -27,11 +29,19 @@
   bool skipped_body = false;
   bool head_too_large = false;
   bool body_too_large = false;
+
+  void AddToStartLine(std::string_view data);
 };
 
 namespace {
 
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+constexpr std::size_t kStatusDigits = 3;
+// Size within which a start line has its status, with spaces to spare.
+constexpr std::size_t kMaxStatusBytes = 32;
 // Return values of on_headers_complete that http_parser defines.
 constexpr int kReadBody = 0;
 constexpr int kSkipBody = 1;
@@ -63,6 +73,20 @@
          status == kStatusNotModified;
 }
 
+// Whether a status line has a status of HTTP (RFC 9110, 15) that can answer
+// these requests: none of them offers another protocol. http_parser accepts one
+// to three digits, and more with zeros before them.
+bool HasKnownStatus(std::string_view start_line, int status) {
+  constexpr std::string_view kDigits = "0123456789";
+  start_line.remove_prefix(std::min(start_line.find(' '), start_line.size()));
+  start_line.remove_prefix(
+      std::min(start_line.find_first_not_of(' '), start_line.size()));
+  const std::size_t digits =
+      std::min(start_line.find_first_not_of(kDigits), start_line.size());
+  return digits == kStatusDigits && status >= kFirstStatus &&
+         status <= kLastStatus && status != kSwitchingProtocols;
+}
+
 template <typename Impl>
 Impl& ImplOf(http_parser* parser) {
   return *static_cast<Impl*>(parser->data);
@@ -70,6 +94,17 @@
 
 }  // namespace
 
+void HttpReader::Impl::AddToStartLine(std::string_view data) {
+  if (kind != Kind::kResponse || start_line.size() >= kMaxStatusBytes) {
+    return;
+  }
+  if (start_line.empty()) {
+    // The parser skips empty lines before it.
+    data.remove_prefix(std::min(data.find_first_not_of("\r\n"), data.size()));
+  }
+  start_line += data.substr(0, kMaxStatusBytes - start_line.size());
+}
+
 // Callbacks for http_parser. A template, because HttpReader::Impl is private.
 template <typename Impl>
 struct ReaderCallbacks {
@@ -110,6 +145,10 @@
         parser->http_major > 1 ||
         (parser->http_major == 1 && parser->http_minor >= 1);
     impl.head.status = static_cast<int>(parser->status_code);
+    if (parser->type == HTTP_RESPONSE &&
+        !HasKnownStatus(impl.start_line, impl.head.status)) {
+      return kStopParser;
+    }
     if (parser->type == HTTP_REQUEST) {
       impl.head.method =
           http_method_str(static_cast<http_method>(parser->method));
@@ -193,6 +232,7 @@
   // Frees the memory, unlike clear().
   std::string().swap(impl_->body);
   impl_->head_bytes = 0;
+  impl_->start_line.clear();
   impl_->started = false;
   impl_->in_value = false;
   impl_->head_complete = false;
@@ -208,6 +248,7 @@
   while (*used < data.size()) {
     const std::string_view rest = data.substr(*used);
     impl_->started = true;
+    impl_->AddToStartLine(rest);
     const std::size_t taken = http_parser_execute(
         &impl_->parser, &impl_->settings, rest.data(), rest.size());
     *used += taken;
--- a/src/libheathergate/http_reader_test.cc
+++ b/src/libheathergate/http_reader_test.cc
@@ -110,5 +110,48 @@
   EXPECT_EQ(reader.head().status, 204);
 }
 
+// A response with status 600 was passed on, and one with status 000 was waited
+// for until the deadline as if it were an interim response.
+TEST(HttpReaderTest, ResponsesWithoutAStatusOfHttpAreMalformed) {
+  for (const char* status :
+       {"000", "007", "042", "099", "600", "700", "999", "101", "0", "20",
+        "0200", "00200", "1000", "2x0", "-20", "20 0"}) {
+    for (const char* rest :
+         {" Odd\r\nContent-Length: 0\r\n\r\n", " Odd\r\n\r\n",
+          "\r\nContent-Length: 3\r\n\r\nabc"}) {
+      HttpReader whole(HttpReader::Kind::kResponse, {});
+      const std::string text = std::string("HTTP/1.1 ") + status + rest;
+      EXPECT_EQ(FeedAll(whole, text), ReadStatus::kMalformed) << text;
+      HttpReader pieces(HttpReader::Kind::kResponse, {});
+      ReadStatus read = ReadStatus::kNeedMore;
+      for (std::size_t i = 0; i < text.size() && read == ReadStatus::kNeedMore;
+           ++i) {
+        read = FeedAll(pieces, std::string_view(text).substr(i, 1));
+      }
+      EXPECT_EQ(read, ReadStatus::kMalformed) << text;
+    }
+  }
+}
+
+TEST(HttpReaderTest, ResponseWithoutAStatusOfHttpAfterAnInterimIsMalformed) {
+  HttpReader reader(HttpReader::Kind::kResponse, {});
+  EXPECT_EQ(FeedAll(reader,
+                    "HTTP/1.1 103 Early Hints\r\n\r\n"
+                    "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n"),
+            ReadStatus::kMalformed);
+}
+
+TEST(HttpReaderTest, UnusualStatusesOfHttpAreRead) {
+  for (const int status : {200, 299, 399, 418, 499, 500, 599}) {
+    for (const char* before : {"", "\r\n", "HTTP/1.1 199 Odd\r\n\r\n"}) {
+      HttpReader reader(HttpReader::Kind::kResponse, {});
+      EXPECT_EQ(FeedAll(reader, before + ("HTTP/1.1 " + std::to_string(status) +
+                                          "\r\nContent-Length: 0\r\n\r\n")),
+                ReadStatus::kComplete);
+      EXPECT_EQ(reader.head().status, status);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace heathergate
--- a/testsuite/gateway/detour_test.py
+++ b/testsuite/gateway/detour_test.py
@@ -4,7 +4,7 @@
 import unittest
 
 from gateway_harness import config, route
-from standins import DEADLINE, LEAVING, REQUEST_ID, Backend
+from standins import DEADLINE, LEAVING, REQUEST_ID, SEAL, Backend, make_response
 from unreachable_harness import DEADLINE_MS, HEAL_S, NOTICE_S, REACHABLE, UNREACHABLE, UnreachableTestCase
 
 # Followers read the registrations for the last time this long after their start.
@@ -152,6 +152,16 @@
         for each in (other, host):
             self.assertEqual(each.request("/w/same", "POST", b"one", request_id="again", key=None)[0], 200)
 
+    # The status of a server that HTTP doesn't have reached the caller.
+    def test_response_without_a_status_of_http_at_the_second_host_is_no_answer(self):
+        (host, links), _ = self.started_hosts("d-a", "e-a")
+        self.cut_off(host, links)
+        self.await_status(host, 200)
+        for backend in self.backends:
+            backend.behave = lambda request, connection: make_response(request, b"odd", status="600 Odd")
+        status, headers, _ = self.send(host, request_id="odd")
+        self.assertEqual((status, headers[SEAL]), (502, None))
+
 
 if __name__ == "__main__":
     unittest.main()
