A server that left without a word isn't listed again by its last report

What callers saw: a server whose entry was removed was used again where the store performed its last report after the removal, and its end cut off their orders. Some servers never report that they drain, so that no number tells that report from the next one of a server that was only silent.

Change: the platform removes the entries of servers that left, or were silent for three reports. A server that had reported within that time, as this host read, has left: its entry counts again once two reports have been listed after the removal, as the last one of a server is followed by none. The interval of the reports is a setting of the platform. Other servers are listed with their next report as before.

Evidence: late_report_test, test_server_that_left_is_not_used_again_for_its_last_ report, fails before; test_server_whose_entry_was_lost_is_used_as_it_goes_on_ reporting and test_server_that_was_silent_is_used_with_its_next_report hold.

--- a/src/include/heathergate/fleet_options.h
+++ b/src/include/heathergate/fleet_options.h
@@ -15,6 +15,9 @@
 struct FleetOptions {
   /// Maximum time from a change in the store until this host acts on it.
   heatherlever::Duration propagation_bound = std::chrono::seconds(2);
+  /// Interval of the reports by which backend servers stay listed. The platform
+  /// removes those that were silent for three of them.
+  heatherlever::Duration report_interval = std::chrono::milliseconds(1500);
   /// Whether all hosts may be starting for the first time, so that those that
   /// have registered need not be all. Registrations outlive the hosts.
   bool first_start = true;
--- a/src/include/heathersteer/report_history.h
+++ b/src/include/heathersteer/report_history.h
@@ -7,6 +7,7 @@
 
 #include "heatherlever/instant.h"
 #include "heathersteer/backend_server.h"
+#include "heathersteer/report_origin.h"
 
 namespace heathersteer {
 
@@ -15,20 +16,20 @@
 /// once the server that sent it has shown that it runs.
 class ReportHistory {
  public:
-  explicit ReportHistory(const BackendServer& first);
+  ReportHistory(const BackendServer& first, const ReportOrigin& origin);
 
-  /// Takes a report that is listed as of `now` in a timeline of the store.
-  /// Returns whether it is the current one.
-  bool Accept(const BackendServer& report,
-              std::uint64_t timeline,
-              heatherlever::Instant now);
+  /// Takes a report that is listed. Returns whether it is the current one.
+  bool Accept(const BackendServer& report, const ReportOrigin& origin);
 
   /// Accepts and returns the late report that is still listed, if it has been
   /// listed for so long that its server runs.
   std::optional<BackendServer> AcceptOverdue(heatherlever::Instant now);
 
-  /// Records that the id is not listed any more.
-  void RecordRemoval(std::uint64_t timeline, heatherlever::Instant now);
+  /// Records that the id is not listed any more. A server whose last report is
+  /// older than `silence` by then may have been removed for its silence;
+  /// another one has left.
+  void RecordRemoval(const ReportOrigin& origin,
+                     heatherlever::Duration silence);
 
   /// Records that no late report is listed.
   void ForgetLateReport() { late_.reset(); }
@@ -44,9 +45,11 @@
   struct Removal {
     std::uint64_t timeline = 0;
     heatherlever::Instant at{0};
+    // Whether the server had reported lately, so that it has left.
+    bool left = false;
   };
 
-  // A report that is earlier than the current one by its numbers.
+  // A report that seems to be earlier than the current one.
   struct Late {
     BackendServer report;
     heatherlever::Instant listed_since{0};
@@ -56,6 +59,7 @@
 
   bool Precedes(const BackendServer& report, std::uint64_t timeline) const;
   bool ShowsThatItRuns(const BackendServer& report, heatherlever::Instant now);
+  int NeededReports(const BackendServer& report) const;
   void Take(const BackendServer& report);
 
   std::int64_t started_ms_ = 0;
@@ -63,6 +67,9 @@
   std::int64_t succeeds_ms_ = 0;
   // Start times of incarnations before the current one, the last one last.
   std::vector<std::int64_t> ended_starts_ms_;
+  // Time at which this host read the last report that was new; nothing if it
+  // comes from another host.
+  std::optional<heatherlever::Instant> reported_at_;
   std::optional<Removal> removal_;
   std::optional<Late> late_;
 };
--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSTEER_SERVER_LIST_H_
 #define HEATHERSTEER_SERVER_LIST_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "heathersteer/backend_server.h"
 #include "heathersteer/listing.h"
 #include "heathersteer/report_history.h"
+#include "heathersteer/report_origin.h"
 #include "heathersteer/server_delta.h"
 
 namespace heathersteer {
@@ -21,6 +23,11 @@
 /// that an older copy brings back, or that the store lists late, are ignored.
 class ServerList {
  public:
+  /// `report_interval` is that of the servers' reports; the platform removes
+  /// those that were silent for three of them.
+  explicit ServerList(
+      heatherlever::Duration report_interval = std::chrono::milliseconds(1500));
+
   /// Takes over a full list that this host read from the store. Returns whether
   /// a server was added, removed or changed; small differences in the end of
   /// its cold start don't count.
@@ -55,17 +62,17 @@
   std::uint64_t timeline() const { return timeline_; }
 
  private:
-  bool Merge(const Listing<BackendServer>& list, heatherlever::Instant now);
+  bool Merge(const std::vector<BackendServer>& reports,
+             const ReportOrigin& origin);
   bool Put(const BackendServer& report);
   bool LimitForLateReport(const BackendServer& report);
   bool AcceptOverdue(heatherlever::Instant now);
-  bool DropMissing(const Listing<BackendServer>& list,
-                   heatherlever::Instant now);
-  bool Remove(const std::string& id,
-              std::uint64_t timeline,
-              heatherlever::Instant now);
+  bool DropMissing(const std::vector<BackendServer>& reports,
+                   const ReportOrigin& origin);
+  bool Remove(const std::string& id, const ReportOrigin& origin);
   void TrimRemoved(heatherlever::Instant now);
 
+  const heatherlever::Duration report_interval_;
   std::map<std::string, BackendServer> by_id_;
   // Of listed servers, and of those that were removed lately.
   std::map<std::string, ReportHistory> histories_;
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -114,6 +114,7 @@
                                             timing_,
                                             MakeReaderCallbacks())),
       relay_order_(self),
+      servers_(options.report_interval),
       client_(loop, ClientOptions()),
       peer_query_(std::make_unique<PeerQuery>(
           loop,
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -22,6 +22,10 @@
 // copies from which a restore is noticed, and up to this number.
 constexpr Duration kRemovedServerTime = std::chrono::minutes(5);
 constexpr std::size_t kMaxRemovedServers = 1000;
+// Number of reports that a server has missed when the platform removes it.
+constexpr int kMissedReports = 3;
+// Time from a report until this host has read it.
+constexpr Duration kReadDelay = std::chrono::milliseconds(1000);
 
 bool EqualExceptColdUntil(const BackendServer& a, BackendServer b) {
   const Duration difference = a.cold_until - b.cold_until;
@@ -33,13 +37,18 @@
 
 }  // namespace
 
+ServerList::ServerList(Duration report_interval)
+    : report_interval_(report_interval) {}
+
 bool ServerList::Update(const Listing<BackendServer>& read, Instant now) {
   if (read.timeline < timeline_) {
     return false;
   }
   const bool restored = timeline_ != 0 && read.timeline > timeline_;
   timeline_ = read.timeline;
-  const bool changed = Merge(read, now);
+  const ReportOrigin origin{
+      .timeline = timeline_, .known_at = now, .from_store = true};
+  const bool changed = Merge(read.entries, origin);
   const bool outage =
       known_at_.count() > 0 && now - known_at_ > kOutageThreshold;
   if (restored || (outage && !recovered_at_)) {
@@ -50,7 +59,7 @@
   }
   recovered_at_.reset();
   known_at_ = now;
-  return DropMissing(read, now) || changed;
+  return DropMissing(read.entries, origin) || changed;
 }
 
 bool ServerList::Mirror(const Listing<BackendServer>& list, Instant known_at) {
@@ -60,17 +69,17 @@
   known_at_ = known_at;
   timeline_ = list.timeline;
   recovered_at_.reset();
-  Merge(list, known_at);
-  DropMissing(list, known_at);
+  const ReportOrigin origin{.timeline = timeline_, .known_at = known_at};
+  Merge(list.entries, origin);
+  DropMissing(list.entries, origin);
   return true;
 }
 
 bool ServerList::Apply(const ServerDelta& delta,
                        std::uint64_t timeline,
                        Instant known_at) {
-  const Listing<BackendServer> changed{timeline, delta.changed};
   if (delta.full) {
-    return Mirror(changed, known_at);
+    return Mirror({timeline, delta.changed}, known_at);
   }
   if (timeline < timeline_ || known_at < known_at_) {
     return false;
@@ -78,9 +87,10 @@
   known_at_ = known_at;
   timeline_ = timeline;
   recovered_at_.reset();
-  Merge(changed, known_at);
+  const ReportOrigin origin{.timeline = timeline_, .known_at = known_at};
+  Merge(delta.changed, origin);
   for (const std::string& id : delta.removed) {
-    Remove(id, timeline, known_at);
+    Remove(id, origin);
   }
   TrimRemoved(known_at);
   // What was listed before and is not in the delta is still listed.
@@ -96,14 +106,15 @@
   return AcceptOverdue(known_at);
 }
 
-bool ServerList::Merge(const Listing<BackendServer>& list, Instant now) {
+bool ServerList::Merge(const std::vector<BackendServer>& reports,
+                       const ReportOrigin& origin) {
   bool changed = false;
-  for (const BackendServer& report : list.entries) {
+  for (const BackendServer& report : reports) {
     const auto history = histories_.find(report.id);
     if (history == histories_.end()) {
-      histories_.emplace(report.id, ReportHistory(report));
+      histories_.emplace(report.id, ReportHistory(report, origin));
       changed = Put(report) || changed;
-    } else if (history->second.Accept(report, list.timeline, now)) {
+    } else if (history->second.Accept(report, origin)) {
       changed = Put(report) || changed;
     } else {
       changed = LimitForLateReport(report) || changed;
@@ -150,24 +161,23 @@
   return changed;
 }
 
-bool ServerList::DropMissing(const Listing<BackendServer>& list, Instant now) {
+bool ServerList::DropMissing(const std::vector<BackendServer>& reports,
+                             const ReportOrigin& origin) {
   std::set<std::string> present;
-  for (const BackendServer& server : list.entries) {
+  for (const BackendServer& server : reports) {
     present.insert(server.id);
   }
   bool dropped = false;
   for (const auto& [id, history] : histories_) {
     if (!present.contains(id)) {
-      dropped = Remove(id, list.timeline, now) || dropped;
+      dropped = Remove(id, origin) || dropped;
     }
   }
-  TrimRemoved(now);
+  TrimRemoved(origin.known_at);
   return dropped;
 }
 
-bool ServerList::Remove(const std::string& id,
-                        std::uint64_t timeline,
-                        Instant now) {
+bool ServerList::Remove(const std::string& id, const ReportOrigin& origin) {
   const auto history = histories_.find(id);
   if (history == histories_.end()) {
     return false;
@@ -176,7 +186,8 @@
   if (by_id_.erase(id) == 0) {
     return false;
   }
-  history->second.RecordRemoval(timeline, now);
+  history->second.RecordRemoval(origin,
+                                kMissedReports * report_interval_ - kReadDelay);
   return true;
 }
 
--- a/testsuite/gateway/late_report_test.py
+++ b/testsuite/gateway/late_report_test.py
@@ -6,6 +6,8 @@
 KEYS = 16
 # More than the time from a change in the store until every host acts on it.
 NOTICE_S = 2.5
+# Three intervals of the servers' reports, after which the platform removes the entry of a silent one.
+SILENCE_S = 4.5
 
 
 class LateReportTest(GatewayTestCase):
@@ -107,8 +109,29 @@
         self.report()
         self.await_used(hosts)
 
+    # Such a server says nothing of its leaving before.
+    def test_server_that_left_is_not_used_again_for_its_last_report(self):
+        hosts = self.started_hosts()
+        self.report()
+        time.sleep(NOTICE_S)
+        self.report()
+        self.remove(hosts)
+        self.report()
+        time.sleep(NOTICE_S)
+        self.assert_used(hosts, False)
+
+    def test_server_whose_entry_was_lost_is_used_as_it_goes_on_reporting(self):
+        hosts = self.started_hosts()
+        self.report()
+        self.remove(hosts)
+        for _ in range(2):
+            self.report()
+            time.sleep(1)
+        self.await_used(hosts)
+
     def test_server_that_was_silent_is_used_with_its_next_report(self):
         hosts = self.started_hosts()
+        time.sleep(SILENCE_S)
         self.remove(hosts)
         self.report()
         self.await_used(hosts)
