A response without an id on a kept connection counts once it is confirmed

What callers saw: a faulty server sent bytes after a complete response, when the next one on the connection was expected.

Cause: a response that echoes no id was taken for that of the request in progress. It can't be left out, as servers may refuse requests without their id.

Change: on a connection that had carried another request, such a response is held. If the response with the request's id follows, that is the one. Otherwise the server is asked for its health on the same connection after 100 ms: it answers the requests of a connection in turn, so that its next response without an id confirms the one that is held, as does the end of a connection that the response announced. On a new connection nothing can precede it, and it counts at once, as do all responses of other hosts.

--- a/src/include/heathergate/http_client.h
+++ b/src/include/heathergate/http_client.h
@@ -34,6 +34,17 @@
 /// written; std::nullopt if the request is not to be sent any more.
 using HeadMaker = std::function<std::optional<std::string>()>;
 
+/// How a call tells the response to its request from other bytes.
+struct ResponseCheck {
+  /// Value of the header that the response echoes; empty for none.
+  std::string echo;
+  /// Complete head of a request without a body and without effects. If a
+  /// response on a reused connection echoes nothing, it may belong to an
+  /// earlier request: it counts as this one's only after the peer has answered
+  /// this further request on the connection. Empty to trust such responses.
+  std::string barrier_head;
+};
+
 /// Timeouts and limits of a client's connections.
 struct HttpClientOptions {
   heatherlever::Duration connect_timeout = std::chrono::milliseconds(300);
@@ -81,7 +92,7 @@
                                  const std::string& method,
                                  HeadMaker make_head,
                                  std::shared_ptr<const std::string> body,
-                                 const std::string& echo,
+                                 ResponseCheck check,
                                  HttpCall::Done done);
 
   /// Closes the idle connections of a peer.
--- a/src/include/heathersteer/service.h
+++ b/src/include/heathersteer/service.h
@@ -10,6 +10,9 @@
 /// Properties of all backend servers of one service.
 struct Service {
   std::string name;
+  /// Path of requests that its backend servers answer without running anything;
+  /// empty if there is none.
+  std::string health_path;
   /// Connections that a backend server accepts from all callers.
   int max_connections = 0;
   /// Duration of a cold start, during which a backend server is slow.
--- a/src/libheathergate/forwarded_request.cc
+++ b/src/libheathergate/forwarded_request.cc
@@ -231,7 +231,7 @@
   call_ =
       SendTo({"host " + host.name, host.caller_endpoint.substr(0, colon),
               static_cast<std::uint16_t>(port)},
-             {gateway_.options_.names.detour, field.Format()},
+             {gateway_.options_.names.detour, field.Format()}, "",
              [self = weak_from_this(), name = host.name](CallResult result) {
                if (const auto request = self.lock()) {
                  request->OnDetourDone(name, std::move(result));
@@ -401,6 +401,7 @@
   const heathersteer::BackendServer& target = server_->server;
   call_ = SendTo({target.id, target.address, target.port},
                  {gateway_.options_.names.target_server, target.id},
+                 MakeBarrierHead(target),
                  [self = weak_from_this()](CallResult result) {
                    if (const auto request = self.lock()) {
                      request->OnCallDone(std::move(result));
@@ -412,6 +413,7 @@
 // call holds no strong reference to it.
 std::shared_ptr<HttpCall> ForwardedRequest::SendTo(const HttpPeer& peer,
                                                    HeaderField target,
+                                                   std::string barrier_head,
                                                    HttpCall::Done done) {
   return gateway_.client_.Send(
       peer, exchange_->head().method,
@@ -420,7 +422,19 @@
         const auto request = self.lock();
         return request == nullptr ? std::nullopt : request->MakeHead(target);
       },
-      exchange_->shared_body(), id_, std::move(done));
+      exchange_->shared_body(),
+      {.echo = id_, .barrier_head = std::move(barrier_head)}, std::move(done));
+}
+
+std::string ForwardedRequest::MakeBarrierHead(
+    const heathersteer::BackendServer& target) const {
+  if (service_.health_path.empty()) {
+    return "";
+  }
+  auto head = HeadWriter::ForRequest("GET", service_.health_path);
+  head.AddField("Host", target.address + ":" + std::to_string(target.port));
+  head.AddField(gateway_.options_.names.target_server, target.id);
+  return std::move(head).Finish();
 }
 
 std::optional<std::string> ForwardedRequest::MakeHead(
--- a/src/libheathergate/forwarded_request.h
+++ b/src/libheathergate/forwarded_request.h
@@ -87,7 +87,11 @@
   std::optional<std::string> MakeHead(const HeaderField& target) const;
   std::shared_ptr<HttpCall> SendTo(const HttpPeer& peer,
                                    HeaderField target,
+                                   std::string barrier_head,
                                    HttpCall::Done done);
+  // Head of the request that confirms unidentified responses of a server; empty
+  // if its service has no path for that.
+  std::string MakeBarrierHead(const heathersteer::BackendServer& target) const;
   void OnCallDone(CallResult result);
   heathersteer::AttemptOutcome ClassifyResult(const CallResult& result) const;
   void ObserveRateLimit(const CallResult& result, heatherlever::Instant now);
--- a/src/libheathergate/http_client.cc
+++ b/src/libheathergate/http_client.cc
@@ -42,7 +42,7 @@
   const std::string method = head.substr(0, head.find(' '));
   return Send(
       peer, method, [head = std::move(head)] { return std::optional(head); },
-      std::move(body), echo, std::move(done));
+      std::move(body), {.echo = echo, .barrier_head = {}}, std::move(done));
 }
 
 std::shared_ptr<HttpCall> HttpClient::Send(
@@ -50,14 +50,14 @@
     const std::string& method,
     HeadMaker make_head,
     std::shared_ptr<const std::string> body,
-    const std::string& echo,
+    ResponseCheck check,
     HttpCall::Done done) {
   auto call = std::make_shared<HttpCall>(std::move(done));
   OutgoingRequest request{.is_head_method = method == kHeadMethod,
                           .make_head = std::move(make_head),
                           .head = {},
                           .body = std::move(body),
-                          .echo = echo};
+                          .check = std::move(check)};
   // The response to an earlier request may still come, and is framed by another
   // method.
   const auto idle = request.is_head_method ? nullptr : TakeIdle(peer.name);
--- a/src/libheathergate/http_client_test.cc
+++ b/src/libheathergate/http_client_test.cc
@@ -157,7 +157,7 @@
     bool returned = false;
     const auto call = client_.Send(
         {"peer", "127.0.0.1", server_.port()}, "GET", [&] { return head; },
-        std::make_shared<const std::string>(), "",
+        std::make_shared<const std::string>(), {},
         [&](CallResult ended) {
           EXPECT_TRUE(returned);
           result = std::move(ended);
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -1,5 +1,7 @@
 #include "libheathergate/http_connection.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
@@ -26,6 +28,9 @@
 // Time for which a peer may accept no bytes of a request. Calls have deadlines
 // of their own.
 constexpr Duration kStallTimeout = std::chrono::seconds(60);
+// Time that the identified response to a request has after one without an echo
+// before the peer is asked whether it is still to come.
+constexpr Duration kBarrierDelay = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -37,6 +42,7 @@
       peer_(std::move(peer)),
       socket_(loop.impl()->context),
       connect_timer_(loop),
+      barrier_timer_(loop),
       send_watch_(loop, socket_),
       reader_(HttpReader::Kind::kResponse,
               {.head_bytes = kMaxHeadBytes,
@@ -110,6 +116,8 @@
   call_->connection_ = shared_from_this();
   request_ = std::move(request);
   head_request_ = request_.is_head_method;
+  unconfirmed_.reset();
+  barrier_sent_ = false;
   ResetReader();
 }
 
@@ -210,7 +218,9 @@
     data.remove_prefix(used);
     if (status == ReadStatus::kNeedMore) {
       // May drop this response.
-      response_hold_.HoldResponse(reader_.body().size());
+      response_hold_.HoldResponse(
+          reader_.body().size() +
+          (unconfirmed_ ? unconfirmed_->body.size() : 0));
       return;
     }
     if (status != ReadStatus::kComplete) {
@@ -224,25 +234,96 @@
 }
 
 void HttpConnection::OnResponse() {
-  if (!EchoMatches()) {
-    // A late or duplicate response to an earlier request; the response to this
-    // one may follow.
-    unexpected_input_ = true;
-    ResetReader();
-    response_hold_.Release();
-    return;
+  switch (MatchEcho()) {
+    case EchoMatch::kSame:
+      if (unconfirmed_) {
+        spdlog::info(
+            "response of {} with status {} and no id ignored: it belonged to "
+            "no request",
+            peer_.name, unconfirmed_->head.status);
+        unexpected_input_ = true;
+      }
+      Succeed(TakeResponse());
+      return;
+    case EchoMatch::kOther:
+      // A late or duplicate response to an earlier request; the response to
+      // this one may follow.
+      unexpected_input_ = true;
+      ResetReader();
+      response_hold_.Release();
+      return;
+    case EchoMatch::kMissing:
+      OnUnidentifiedResponse();
+      return;
   }
-  Succeed();
 }
 
-bool HttpConnection::EchoMatches() const {
+HttpConnection::EchoMatch HttpConnection::MatchEcho() const {
   const std::string& header = client_.options_.echo_header;
-  if (header.empty() || request_.echo.empty()) {
-    return true;
+  if (header.empty() || request_.check.echo.empty()) {
+    return EchoMatch::kSame;
   }
   const std::string* value =
       const_cast<HttpReader&>(reader_).head().Find(header);
-  return value == nullptr || *value == request_.echo;
+  if (value == nullptr) {
+    return EchoMatch::kMissing;
+  }
+  return *value == request_.check.echo ? EchoMatch::kSame : EchoMatch::kOther;
+}
+
+bool HttpConnection::NeedsConfirmation() const {
+  return call_->reused_connection_ && !request_.check.barrier_head.empty();
+}
+
+// Sound servers may reject a request without its id, and bytes that follow the
+// response to an earlier request may look the same. A server answers the
+// requests of a connection in turn: if it answers the barrier next, there is no
+// other response to this request. Nor is there if the response announced the
+// end of the connection, and it ends.
+void HttpConnection::OnUnidentifiedResponse() {
+  if (!NeedsConfirmation()) {
+    Succeed(TakeResponse());
+    return;
+  }
+  if (!unconfirmed_) {
+    unconfirmed_ = TakeResponse();
+    AwaitConfirmation();
+  } else if (barrier_sent_) {
+    reader_.Reset();
+    Succeed(*std::exchange(unconfirmed_, std::nullopt));
+  } else {
+    Fail("two responses without the request's id");
+  }
+}
+
+void HttpConnection::AwaitConfirmation() {
+  ResetReader();
+  barrier_timer_.Start(kBarrierDelay, [self = weak_from_this()] {
+    if (const auto connection = self.lock()) {
+      connection->SendBarrier();
+    }
+  });
+}
+
+void HttpConnection::SendBarrier() {
+  if (closed_ || !unconfirmed_) {
+    return;
+  }
+  if (writing_) {
+    AwaitConfirmation();
+    return;
+  }
+  barrier_sent_ = true;
+  writing_ = true;
+  send_watch_.Start(request_.check.barrier_head.size());
+  asio::async_write(
+      socket_, asio::buffer(request_.check.barrier_head),
+      [self = shared_from_this()](std::error_code error, std::size_t) {
+        self->writing_ = false;
+        if (error && !self->closed_) {
+          self->OnWriteFailed(error);
+        }
+      });
 }
 
 void HttpConnection::OnReadEnd(std::error_code error) {
@@ -253,23 +334,37 @@
   // A failed write takes the connection's error, so that the reset which caused
   // it reads as the end.
   const bool closed_by_peer = error == asio::error::eof && !writing_;
-  if (closed_by_peer && reader_.head_complete() &&
-      reader_.FeedEnd() == ReadStatus::kComplete && EchoMatches()) {
-    reader_.head().keep_alive = false;
-    Succeed();
+  if (closed_by_peer && unconfirmed_ && !unconfirmed_->head.keep_alive &&
+      !reader_.started()) {
+    Succeed(*std::exchange(unconfirmed_, std::nullopt));
     return;
   }
+  if (closed_by_peer && reader_.head_complete() &&
+      reader_.FeedEnd() == ReadStatus::kComplete) {
+    const EchoMatch match = MatchEcho();
+    if (match == EchoMatch::kSame ||
+        (match == EchoMatch::kMissing && !NeedsConfirmation())) {
+      reader_.head().keep_alive = false;
+      Succeed(TakeResponse());
+      return;
+    }
+  }
   // The acknowledgement of sent bytes did not come in time.
   unreachable_ = error == asio::error::timed_out;
   ended_by_peer_ = !unreachable_;
   Fail("the connection ended: " + error.message());
 }
 
-void HttpConnection::Succeed() {
+CallResult HttpConnection::TakeResponse() {
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
   result.head = std::move(reader_.head());
   result.body = std::move(reader_.body());
+  return result;
+}
+
+void HttpConnection::Succeed(CallResult result) {
+  barrier_timer_.Cancel();
   idle_timeout_ = client_.options_.idle_timeout;
   if (const std::string* value = result.head.Find("Keep-Alive")) {
     const std::size_t position = value->find("timeout=");
@@ -323,6 +418,7 @@
   reader_.Reset();
   response_hold_.Release();
   connect_timer_.Cancel();
+  barrier_timer_.Cancel();
   send_watch_.Stop();
   std::error_code ignored;  // NOLINT: the connection is dropped either way.
   socket_.close(ignored);
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -3,6 +3,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "heathergate/buffer_hold.h"
@@ -25,8 +26,7 @@
   /// Empty until it is written.
   std::string head;
   std::shared_ptr<const std::string> body;
-  /// Value of the header that the response echoes.
-  std::string echo;
+  ResponseCheck check;
 };
 
 /// One connection of an HttpClient: opened for a call and reused for later
@@ -63,8 +63,16 @@
   void OnInput(std::string_view data);
   void OnReadEnd(std::error_code error);
   void OnResponse();
-  bool EchoMatches() const;
-  void Succeed();
+  // How the echo in a response compares with that of the request.
+  enum class EchoMatch { kSame, kOther, kMissing };
+
+  EchoMatch MatchEcho() const;
+  CallResult TakeResponse();
+  bool NeedsConfirmation() const;
+  void OnUnidentifiedResponse();
+  void AwaitConfirmation();
+  void SendBarrier();
+  void Succeed(CallResult result);
   void Fail(const std::string& error);
 
   HttpClient& client_;
@@ -72,12 +80,16 @@
   HttpPeer peer_;
   asio::ip::tcp::socket socket_;
   Timer connect_timer_;
+  Timer barrier_timer_;
   SendWatch send_watch_;
   HttpReader reader_;
   std::shared_ptr<HttpCall> call_;
   // Without head and body once it is written.
   OutgoingRequest request_;
   bool head_request_ = false;
+  // A response without an echo that may belong to an earlier request.
+  std::optional<CallResult> unconfirmed_;
+  bool barrier_sent_ = false;
   BufferHold response_hold_;
   bool writing_ = false;
   bool reading_ = false;
