An entry of a server with fields missing names no server to use

What callers saw: a server had left, and an entry of another writer stood under its id, without `version`, `sequence` and `born`.

Cause: missing fields had defaults. Without a start time the entry was one of another incarnation, of whose leaving nothing was known.

The start time may be missing on a platform whose servers state none; where any does, an entry without one is ignored, whichever host hands it on. Hosts log the ids of servers whose listed report they ignore, here and as earlier than the known one.

--- a/src/include/heathergate/fleet_agent.h
+++ b/src/include/heathergate/fleet_agent.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -139,6 +140,7 @@
   bool ShouldReadStore() const;
   StoreReaderCallbacks MakeReaderCallbacks();
   void OnServersChanged();
+  void LogIgnoredReports();
   void OnOperatorState(const heathersteer::OperatorState& state);
   void NotifyOperatorState();
   // Adds what a host lacks that has `document_version` of the document.
@@ -182,6 +184,7 @@
   heathersteer::RelayOrder relay_order_;
   heathersteer::LiveHosts live_hosts_;
   heathersteer::ServerList servers_;
+  std::set<std::string> logged_ignored_reports_;
   heathersteer::OperatorStateMerge operator_state_;
   heathersteer::DocumentHistory documents_;
   // Whether this host's document is not the one that other hosts have under its
--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,10 @@
 
   std::vector<BackendServer> servers() const;
 
+  /// Ids of servers whose listed report is ignored, as it is earlier than the
+  /// known one, or states no start time although those of other servers do.
+  const std::set<std::string>& ignored_reports() const { return ignored_; }
+
   /// Time until missing servers are removed after an outage; 0 at other times.
   heatherlever::Duration reregistration_time_left(
       heatherlever::Instant now) const;
@@ -62,6 +67,8 @@
   std::uint64_t timeline() const { return timeline_; }
 
  private:
+  std::vector<BackendServer> WithStartTimes(
+      const std::vector<BackendServer>& reports);
   bool Merge(const std::vector<BackendServer>& reports,
              const ReportOrigin& origin);
   bool Put(const BackendServer& report);
@@ -76,6 +83,8 @@
   std::map<std::string, BackendServer> by_id_;
   // Of listed servers, and of those that were removed lately.
   std::map<std::string, ReportHistory> histories_;
+  std::set<std::string> ignored_;
+  bool states_start_times_ = false;
   std::uint64_t timeline_ = 0;
   heatherlever::Instant known_at_{0};
   // Time of the first read after an outage or a restore.
--- a/src/libheathergate/fleet_agent.cc
+++ b/src/libheathergate/fleet_agent.cc
@@ -547,6 +547,7 @@
   }
   ApplyOperatorState(response);
   ApplyServers(response, known_at);
+  LogIgnoredReports();
   if (response.caller_endpoints) {
     followed_endpoints_ = *response.caller_endpoints;
   }
@@ -591,6 +592,7 @@
             if (servers_.Update(servers, requested_at)) {
               OnServersChanged();
             }
+            LogIgnoredReports();
             if (requested_at >= pauses_->ended_at()) {
               pauses_->OnStateRefreshed();
             }
@@ -608,6 +610,19 @@
           }};
 }
 
+void FleetAgent::LogIgnoredReports() {
+  const std::set<std::string>& ignored = servers_.ignored_reports();
+  for (const std::string& id : ignored) {
+    if (!logged_ignored_reports_.contains(id)) {
+      spdlog::warn(
+          "backend server {}: listed report ignored, as it is earlier than "
+          "the known one or has no start time",
+          id);
+    }
+  }
+  logged_ignored_reports_ = ignored;
+}
+
 void FleetAgent::OnServersChanged() {
   changes_.Update(servers_.servers());
   list_diverged_ = true;
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -48,7 +48,9 @@
   timeline_ = read.timeline;
   const ReportOrigin origin{
       .timeline = timeline_, .known_at = now, .from_store = true};
-  const bool changed = Merge(read.entries, origin);
+  ignored_.clear();
+  const auto reports = WithStartTimes(read.entries);
+  const bool changed = Merge(reports, origin);
   const bool outage =
       known_at_.count() > 0 && now - known_at_ > kOutageThreshold;
   if (restored || (outage && !recovered_at_)) {
@@ -59,7 +61,7 @@
   }
   recovered_at_.reset();
   known_at_ = now;
-  return DropMissing(read.entries, origin) || changed;
+  return DropMissing(reports, origin) || changed;
 }
 
 bool ServerList::Mirror(const Listing<BackendServer>& list, Instant known_at) {
@@ -70,8 +72,10 @@
   timeline_ = list.timeline;
   recovered_at_.reset();
   const ReportOrigin origin{.timeline = timeline_, .known_at = known_at};
-  Merge(list.entries, origin);
-  DropMissing(list.entries, origin);
+  ignored_.clear();
+  const auto reports = WithStartTimes(list.entries);
+  Merge(reports, origin);
+  DropMissing(reports, origin);
   return true;
 }
 
@@ -88,9 +92,10 @@
   timeline_ = timeline;
   recovered_at_.reset();
   const ReportOrigin origin{.timeline = timeline_, .known_at = known_at};
-  Merge(delta.changed, origin);
+  Merge(WithStartTimes(delta.changed), origin);
   for (const std::string& id : delta.removed) {
     Remove(id, origin);
+    ignored_.erase(id);
   }
   TrimRemoved(known_at);
   // What was listed before and is not in the delta is still listed.
@@ -106,6 +111,25 @@
   return AcceptOverdue(known_at);
 }
 
+// Servers state their start times everywhere or, on platforms without them,
+// nowhere. An entry without one among others is not a server's.
+std::vector<BackendServer> ServerList::WithStartTimes(
+    const std::vector<BackendServer>& reports) {
+  states_start_times_ =
+      states_start_times_ ||
+      std::any_of(reports.begin(), reports.end(),
+                  [](const auto& report) { return report.started_ms != 0; });
+  std::vector<BackendServer> stated;
+  for (const BackendServer& report : reports) {
+    if (report.started_ms != 0 || !states_start_times_) {
+      stated.push_back(report);
+    } else {
+      ignored_.insert(report.id);
+    }
+  }
+  return stated;
+}
+
 bool ServerList::Merge(const std::vector<BackendServer>& reports,
                        const ReportOrigin& origin) {
   bool changed = false;
@@ -118,7 +142,10 @@
       changed = Put(report) || changed;
     } else {
       changed = LimitForLateReport(report) || changed;
+      ignored_.insert(report.id);
+      continue;
     }
+    ignored_.erase(report.id);
   }
   return changed;
 }
@@ -155,6 +182,7 @@
   bool changed = false;
   for (auto& [id, history] : histories_) {
     if (const auto report = history.AcceptOverdue(now)) {
+      ignored_.erase(id);
       changed = Put(*report) || changed;
     }
   }
--- a/src/libheathersteer/server_list_test.cc
+++ b/src/libheathersteer/server_list_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
 #include <utility>
 
 namespace heathersteer {
@@ -288,6 +290,38 @@
   EXPECT_TRUE(list.Update(List({Reported("a", 7, 6)}), kStart + seconds(6)));
 }
 
+// An entry without a start time is another writer's, and brought a server back
+// that had left.
+TEST(ServerListTest, AnEntryWithoutAStartTimeAmongOthersIsIgnored) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5), Reported("b", 7, 5)}), kStart);
+  list.Update(List({Reported("b", 7, 5)}), kStart + seconds(1));
+  for (int second = 2; second < 20; ++second) {
+    list.Update(List({Reported("a", 0, second), Reported("b", 7, 5 + second),
+                      Reported("c", 0, 1)}),
+                kStart + seconds(second));
+    EXPECT_EQ(Count(list), 1U);
+    EXPECT_EQ(list.ignored_reports(), (std::set<std::string>{"a", "c"}));
+  }
+  list.Update(List({Reported("b", 7, 30)}), kStart + seconds(20));
+  EXPECT_TRUE(list.ignored_reports().empty());
+}
+
+TEST(ServerListTest, ServersOfAPlatformWithoutStartTimesAreListed) {
+  ServerList list;
+  list.Update(List({Reported("a", 0, 5), Reported("b", 0, 5)}), kStart);
+  EXPECT_EQ(Count(list), 2U);
+}
+
+TEST(ServerListTest, IgnoredReportsAreNamed) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  list.Update(List({Reported("a", 7, 2)}), kStart + seconds(1));
+  EXPECT_EQ(list.ignored_reports(), std::set<std::string>{"a"});
+  list.Update(List({Reported("a", 7, 6)}), kStart + seconds(2));
+  EXPECT_TRUE(list.ignored_reports().empty());
+}
+
 // It may be that of a new start, which more requests would end.
 TEST(ServerListTest, AServerCountsAsColdWhileAnotherStartMayFollowIt) {
   ServerList list;
--- a/testsuite/gateway/foreign_entry_test.py
+++ b/testsuite/gateway/foreign_entry_test.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 
 from gateway_harness import GatewayTestCase
@@ -5,6 +6,8 @@
 
 KEYS = 24
 BODY = b"payload"
+# More than the time from a change in the store until every host acts on it.
+NOTICE_S = 2.5
 # Ids that no header field carries as they are.
 UNSOUND_KEYS = [
     "i-1\n", "i-1\r", "i-1\r\n", "\ni-1", "i-1\r\nX-Added: 1", "i-1\x00", "i-1 ", " i-1", "i-1\t", "",
@@ -49,6 +52,21 @@
             host.stop()
             self.store.delete("servers", name)
 
+    # The entry named no start, so that what was known of the server's leaving did not count for it.
+    def test_server_that_left_is_not_used_for_an_entry_with_fields_missing(self):
+        left, _ = self.backend("i-1"), self.backend("i-2")
+        host = self.started_host()
+        for name in ("i-1", "i-2"):
+            host.await_log(f"backend server {name} ")
+        self.store.delete("servers", "i-1")
+        host.await_log("backend server i-1 is no longer listed")
+        for missing in (["version"], ["sequence"], ["coldRemaining"], ["born"], ["version", "sequence", "born"]):
+            for value in (None, True):
+                row = {**left.row(sequence=9), **dict.fromkeys(missing, value)}
+                self.store.put("servers", "i-1", row)
+                time.sleep(NOTICE_S)
+                self.assertEqual({result[2] for result in self.send(host).values()}, {b"from i-2"}, row)
+
     # On-call engineers read lines that the key of an entry had made up.
     def test_no_entry_begins_a_line_of_the_log(self):
         forged = "forged: host h1 stopped"
