Stand-in servers answer status checks and name the request in refusals

A host may ask a server for its health on a connection where it got a response without an id, and the stand-ins took that for a request: a test that counts requests, or reads their ids, saw one more. They answer it now, outside `seen`.

Two tests expect that a refusal whose caller leaves within 0.1 to 0.5 s still ends with 503, which a host can't say of one that it could not confirm in that time: expired_request_test, test_request_ is_not_sent_again_after_its_deadline, and server_retry_after_test, test_other_ answers_and_malformed_values_change_nothing. What they assert is as it was. Refusals without an id have unidentified_response_test.

--- a/testsuite/gateway/server_retry_after_test.py
+++ b/testsuite/gateway/server_retry_after_test.py
@@ -3,7 +3,7 @@
 import unittest
 
 from gateway_harness import GatewayTestCase, config, route
-from standins import NOT_EXECUTED, REQUEST_ID, SEAL, make_response
+from standins import NOT_EXECUTED, REQUEST_ID, SEAL, identified, make_response
 
 BACKOFF_S = 2
 # Requests from one host that may still reach the server from this time after its answer until the end of its backoff.
@@ -70,7 +70,7 @@
         def turn_away_first_host(request, connection):
             host = request[1][REQUEST_ID.lower()].split("-")[0]
             arrivals[host].append(time.monotonic())
-            return turn_away(f"{BACKOFF_S}.0") if host == "h1" else make_response(request, b"")
+            return identified(turn_away(f"{BACKOFF_S}.0"), request) if host == "h1" else make_response(request, b"")
 
         asking = self.backend("i-1", turn_away_first_host, slots=100)
         serving = self.backend("i-2", slots=100)
@@ -111,7 +111,7 @@
 
         def turn_away_on_release(request, connection):
             release.wait()
-            return turn_away(LONG_BACKOFF)
+            return identified(turn_away(LONG_BACKOFF), request)
 
         # The queue outlasts the test.
         self.store.put("op", "config", config(read=route(timeout="200s", targetLatency="200s")))
@@ -166,7 +166,7 @@
         answers.append(b"HTTP/1.1 503 Service Unavailable\r\n" + NOT_EXECUTED.encode() + b": 1\r\nContent-Length: 0\r\n\r\n")
         answers.append(turn_away(LONG_BACKOFF).replace(b"503 Service Unavailable", b"421 Misdirected Request"))
         remaining = list(answers)
-        asking = self.backend("i-1", lambda request, connection: remaining.pop(0), slots=100)
+        asking = self.backend("i-1", lambda request, connection: identified(remaining.pop(0), request), slots=100)
         host, = self.hosts_of(1, asking)
         for number in range(len(answers)):
             self.assertEqual(503, host.request(request_id=f"r{number}", deadline_ms=100)[0])
--- a/testsuite/gateway/standins.py
+++ b/testsuite/gateway/standins.py
@@ -12,6 +12,7 @@
 SEAL = "Heatherlever-Response-Seal"
 NOT_EXECUTED = "Heatherlever-Not-Executed"
 LEAVING = "Server-Leaving: 1\r\n"
+HEALTH_PATH = "/health"
 TARGET = "Heatherlever-Target-Instance"
 DEADLINE = "Heatherlever-Deadline-Remaining"
 
@@ -311,7 +312,7 @@
 class Backend:
     """A backend server. `behave(request, connection)` returns the bytes of the
     response, or None to close the connection without one. `runs` lists the ids of
-    the requests that it has run; `seen` holds all requests as (request line,
+    the requests that it has run; `seen` holds all requests but status checks as (request line,
     headers, body). `extra` is a text of header lines for all responses of `succeed`."""
 
     def __init__(self, name, behave=None):
@@ -364,10 +365,7 @@
                 request = read_message(stream)
                 if request is None:
                     return
-                with self.condition:
-                    self.seen.append(request)
-                    self.condition.notify_all()
-                response = self.behave(request, connection)
+                response = self.respond(request, connection)
                 if response is None:
                     return
                 try:
@@ -375,6 +373,17 @@
                 except OSError:
                     return
 
+    def respond(self, request, connection):
+        if request[0].startswith(f"GET {HEALTH_PATH} "):
+            return self.check_health()
+        with self.condition:
+            self.seen.append(request)
+            self.condition.notify_all()
+        return self.behave(request, connection)
+
+    def check_health(self):
+        return b"HTTP/1.1 200 OK\r\nHeatherlever-Instance-Id: " + self.name.encode() + b"\r\nContent-Length: 0\r\n\r\n"
+
     def run(self, request):
         with self.condition:
             self.runs.append(request[1].get(REQUEST_ID.lower()))
@@ -385,7 +394,7 @@
         return make_response(request, b"from " + self.name.encode(), extra=self.extra)
 
     def shed(self, request, connection):
-        return b"HTTP/1.1 503 Service Unavailable\r\n" + NOT_EXECUTED.encode() + b": 1\r\nContent-Length: 0\r\n\r\n"
+        return identified(b"HTTP/1.1 503 Service Unavailable\r\n" + NOT_EXECUTED.encode() + b": 1\r\nContent-Length: 0\r\n\r\n", request)
 
     def run_and_close(self, request, connection):
         self.run(request)
@@ -403,6 +412,12 @@
         }
 
 
+def identified(response, request):
+    """Returns a response with the id of its request, if that has one."""
+    request_id = request[1].get(REQUEST_ID.lower())
+    return response if request_id is None else response.replace(b"\r\n", f"\r\n{REQUEST_ID}: {request_id}\r\n".encode(), 1)
+
+
 def make_response(request, body, status="200 OK", request_id=None, extra=""):
     head = f"HTTP/1.1 {status}\r\n{REQUEST_ID}: {request_id or request[1].get(REQUEST_ID.lower())}\r\n"
     head += f"{SEAL}: sealed\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
--- a/testsuite/gateway/unidentified_response_test.py
+++ b/testsuite/gateway/unidentified_response_test.py
@@ -12,7 +12,6 @@
 MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
 FAILED = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nlate"
 NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nlate"
-HEALTHY = b"HTTP/1.1 200 OK\r\nHeatherlever-Instance-Id: i\r\nContent-Length: 0\r\n\r\n"
 
 
 class UnidentifiedResponseTest(GatewayTestCase):
@@ -23,8 +22,6 @@
         used = set()
 
         def answer(request, connection):
-            if request[0].startswith("GET /health "):
-                return HEALTHY
             if connection in used:
                 connection.sendall(stray)
             used.add(connection)
@@ -40,8 +37,6 @@
         used = set()
 
         def answer(request, connection):
-            if request[0].startswith("GET /health "):
-                return HEALTHY
             if connection in used:
                 backend.refused.append(request[1][REQUEST_ID.lower()])
                 return refusal
@@ -107,6 +102,13 @@
         self.assertEqual((status, body), (500, b"late"))
         self.assertLess(time.monotonic() - start, 5)
 
+    # Some servers echo the id of a request that has none.
+    def test_refusal_is_confirmed_by_a_check_with_another_id(self):
+        backend = self.refusing_backend("i-1", SHED)
+        backend.check_health = lambda: SHED.replace(b"Content", f"{REQUEST_ID}: None\r\nContent".encode())
+        host = self.started_with("i-1")
+        self.assertEqual([self.order(host, "a")[0], self.order(host, "b")[0]], [200, 503])
+
     # A server that is full refuses the check, too.
     def test_refusal_is_confirmed_by_a_refused_check(self):
         full = threading.Event()
@@ -118,6 +120,7 @@
             return make_response(request, b"own")
 
         backend = self.backend("i-1", answer)
+        backend.check_health = lambda: SHED
         host = self.started_with("i-1")
         self.assertEqual(self.order(host, "a")[0], 200)
         full.set()
