Requests that are given up leave no bytes on their way

What callers saw: orders that nobody waited for any more ran seconds later.

Cause: the connection was closed in the ordinary way, so that the network still delivered what the peer had not acknowledged.

Change: a connection that is closed with a request pending is reset if the peer has not acknowledged all of it, or the system doesn't tell. A reset drops what is held up. Idle connections, and those whose peer has the whole request, close as before.

After a barrier, a response with another id than the request's counts as the barrier's: some servers echo an id for a request that has none.

--- a/src/libheathergate/http_client_test.cc
+++ b/src/libheathergate/http_client_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,6 +31,9 @@
 // Enough for the kernel to choose each port of its default range once.
 constexpr int kManyCalls = 40000;
 
+// More than the buffers of a connection's two ends.
+constexpr std::size_t kMoreThanBuffersHold = std::size_t{32} << 20;
+
 constexpr const char* kHead = "GET / HTTP/1.1\r\n\r\n";
 
 // Nothing listens there.
@@ -195,6 +199,52 @@
   EXPECT_EQ(requests_, 1);
 }
 
+// A server that could not be reached for seconds ran requests that had been
+// given up: they reached it after the cut.
+TEST(GivenUpCallTest, ConnectionIsReset) {
+  EventLoop loop;
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  HttpClient client(loop, {});
+  const auto call =
+      client.Send({"peer", "127.0.0.1", acceptor.local_endpoint().port()},
+                  kHead, std::string(kMoreThanBuffersHold, 'x'), "",
+                  [](const CallResult&) { FAIL(); });
+  while (!call->sent()) {
+    const auto timer = loop.After(milliseconds(1), [&] { loop.Stop(); });
+    loop.Run();
+  }
+  tcp::socket server = acceptor.accept();
+  call->Cancel();
+  std::array<char, 65536> bytes{};
+  std::error_code error;
+  // The kernel keeps what has arrived, and a reset drops the rest.
+  while (!error) {
+    server.read_some(asio::buffer(bytes), error);
+  }
+  EXPECT_EQ(error, asio::error::connection_reset);
+}
+
+TEST(GivenUpCallTest, ConnectionsWithoutAPendingRequestEndInOrder) {
+  EventLoop loop;
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  HttpClient client(loop, {});
+  client.Send({"peer", "127.0.0.1", acceptor.local_endpoint().port()}, kHead,
+              "", "", [&](const CallResult&) { loop.Stop(); });
+  tcp::socket server = acceptor.accept();
+  asio::write(server, asio::buffer(std::string(
+                          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  loop.Run();
+  client.CloseIdle("peer");
+  std::array<char, 64> bytes{};
+  std::error_code error;
+  EXPECT_EQ(server.read_some(asio::buffer(bytes), error),
+            std::string(kHead).size());
+  server.read_some(asio::buffer(bytes), error);
+  EXPECT_EQ(error, asio::error::eof);
+}
+
 INSTANTIATE_TEST_SUITE_P(UnusablePeers,
                          HttpClientTest,
                          testing::ValuesIn(kAddresses),
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "heathernet/event_loop.h"
+#include "libheathergate/sent_bytes.h"
 #include "libheathergate/socket_options.h"
 #include "libheathernet/event_loop_impl.h"
 
@@ -138,6 +139,7 @@
   request_.head = *std::move(head);
   // async_write may send part of the request at once.
   call_->sent_ = true;
+  request_pending_ = true;
   writing_ = true;
   send_watch_.Start(request_.head.size() + request_.body->size());
   const std::array<asio::const_buffer, 2> buffers = {
@@ -246,6 +248,11 @@
       Succeed(TakeResponse());
       return;
     case EchoMatch::kOther:
+      if (barrier_sent_) {
+        // Some servers name a request that has no id.
+        OnUnidentifiedResponse();
+        return;
+      }
       // A late or duplicate response to an earlier request; the response to
       // this one may follow.
       unexpected_input_ = true;
@@ -365,6 +372,7 @@
 
 void HttpConnection::Succeed(CallResult result) {
   barrier_timer_.Cancel();
+  request_pending_ = false;
   idle_timeout_ = client_.options_.idle_timeout;
   if (const std::string* value = result.head.Find("Keep-Alive")) {
     const std::size_t position = value->find("timeout=");
@@ -414,6 +422,9 @@
     return;
   }
   closed_ = true;
+  if (request_pending_) {
+    DropUnacknowledged();
+  }
   call_ = nullptr;
   reader_.Reset();
   response_hold_.Release();
@@ -425,6 +436,15 @@
   client_.RemoveIdle(shared_from_this());
 }
 
+// Bytes on their way would reach the peer once it can be reached again, when
+// nobody waits for a response any more.
+void HttpConnection::DropUnacknowledged() {
+  const auto sent = SentBytes::Of(socket_.native_handle());
+  if (!sent || sent->acknowledged != sent->written) {
+    ResetOnClose(socket_);
+  }
+}
+
 bool HttpConnection::IsReusable(Instant now) {
   return !closed_ && now - idle_since_ < idle_timeout_ &&
          !HasPendingInput(socket_);
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -72,6 +72,7 @@
   void OnUnidentifiedResponse();
   void AwaitConfirmation();
   void SendBarrier();
+  void DropUnacknowledged();
   void Succeed(CallResult result);
   void Fail(const std::string& error);
 
@@ -91,6 +92,8 @@
   std::optional<CallResult> unconfirmed_;
   bool barrier_sent_ = false;
   BufferHold response_hold_;
+  // Whether a request was written that has no response yet.
+  bool request_pending_ = false;
   bool writing_ = false;
   bool reading_ = false;
   bool closed_ = false;
--- a/src/libheathergate/socket_options.cc
+++ b/src/libheathergate/socket_options.cc
@@ -55,6 +55,12 @@
              sizeof(ms));
 }
 
+void ResetOnClose(asio::ip::tcp::socket& socket) {
+  const linger none{.l_onoff = 1, .l_linger = 0};
+  setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &none,
+             sizeof(none));
+}
+
 bool HasPendingInput(asio::ip::tcp::socket& socket) {
   char byte = 0;
   const ssize_t received =
--- a/src/libheathergate/socket_options.h
+++ b/src/libheathergate/socket_options.h
@@ -31,6 +31,10 @@
 void SetAckTimeout(asio::ip::tcp::socket& socket,
                    heatherlever::Duration ack_timeout);
 
+/// Makes closing the socket reset the connection and drop what was not sent or
+/// acknowledged yet.
+void ResetOnClose(asio::ip::tcp::socket& socket);
+
 /// Whether an idle connection has been closed by the peer or has unexpected
 /// input.
 bool HasPendingInput(asio::ip::tcp::socket& socket);
