Request targets with tabs or form feeds are malformed

A server that ends the target at any whitespace (RFC 9112, 3) runs another path than the client sent. Such a request is answered 400 now, like one with a space. RequestTargetTest, TargetWithAnotherWhitespaceIsRefused; no client that was seen sends one.

--- a/src/libheathergate/request_target.cc
+++ b/src/libheathergate/request_target.cc
@@ -14,6 +14,11 @@
 
 bool ToOriginForm(HttpHead& head) {
   const std::string target = head.target;
+  // The parser accepts tabs and form feeds, at which some servers end a target
+  // (RFC 9112, 3).
+  if (target.find_first_of("\t\f") != std::string::npos) {
+    return false;
+  }
   if (!SameName(std::string_view(target).substr(0, kScheme.size()), kScheme)) {
     return true;
   }
--- a/src/libheathergate/request_target_test.cc
+++ b/src/libheathergate/request_target_test.cc
@@ -50,5 +50,13 @@
   }
 }
 
+// Servers that end the target there ran another path.
+TEST(RequestTargetTest, TargetWithAnotherWhitespaceIsRefused) {
+  for (const char* target : {"/x/\t1", "/x/\f1", "http://a.example/x\t"}) {
+    HttpHead head = HeadOf(target);
+    EXPECT_FALSE(ToOriginForm(head));
+  }
+}
+
 }  // namespace
 }  // namespace heathergate
