--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -72,7 +72,7 @@
   bool Merge(const std::vector<BackendServer>& reports,
              const ReportOrigin& origin);
   bool Put(const BackendServer& report);
-  bool LimitForLateReport(const BackendServer& report);
+  bool ExtendColdStart(const BackendServer& report);
   bool AcceptOverdue(heatherlever::Instant now);
   bool DropMissing(const std::vector<BackendServer>& reports,
                    const ReportOrigin& origin);
--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -282,7 +282,7 @@
   return call_->reused_connection_ && !request_.check.barrier_head.empty();
 }
 
-// Sound servers may reject a request without its id, and bytes that follow the
+// Servers may reject a request without its id, and bytes that follow the
 // response to an earlier request may look the same. A server answers the
 // requests of a connection in turn: if it answers the barrier next, there is no
 // other response to this request. Nor is there if the response announced the
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -141,7 +141,7 @@
     } else if (history->second.Accept(report, origin)) {
       changed = Put(report) || changed;
     } else {
-      changed = LimitForLateReport(report) || changed;
+      changed = ExtendColdStart(report) || changed;
       ignored_.insert(report.id);
       continue;
     }
@@ -168,7 +168,7 @@
 
 // A report of an earlier incarnation may be that of a later one with a slow
 // clock, which is cold.
-bool ServerList::LimitForLateReport(const BackendServer& report) {
+bool ServerList::ExtendColdStart(const BackendServer& report) {
   const auto known = by_id_.find(report.id);
   if (known == by_id_.end() || known->second.started_ms == report.started_ms ||
       report.cold_until <= known->second.cold_until + kColdUntilTolerance) {
