--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -52,6 +52,9 @@
   void set_idle_since(heatherlever::Instant now) { idle_since_ = now; }
 
  private:
+  // How the echo in a response compares with that of the request.
+  enum class EchoMatch { kSame, kOther, kMissing };
+
   void SetCall(std::shared_ptr<HttpCall> call, OutgoingRequest request);
   void ResetReader();
   void OnConnected(std::error_code error);
@@ -63,9 +66,6 @@
   void OnInput(std::string_view data);
   void OnReadEnd(std::error_code error);
   void OnResponse();
-  // How the echo in a response compares with that of the request.
-  enum class EchoMatch { kSame, kOther, kMissing };
-
   EchoMatch MatchEcho() const;
   CallResult TakeResponse();
   bool NeedsConfirmation() const;
--- a/testsuite/gateway/late_report_test.py
+++ b/testsuite/gateway/late_report_test.py
@@ -53,10 +53,10 @@
             while not self.used(host):
                 self.assertLess(time.monotonic(), end, f"{host.name} does not use the server")
 
-    def drain(self, hosts):
-        self.report("draining")
+    def drain(self, hosts, **report):
+        self.report("draining", **report)
         for host in hosts:
-            host.await_log("i-1 of s at 127.0.0.1:%d in d-a: draining" % self.server.port)
+            host.await_log(f"backend server i-1 of s at 127.0.0.1:{self.server.port} in d-a: draining")
 
     def remove(self, hosts):
         self.store.delete("servers", "i-1")
@@ -84,9 +84,7 @@
         self.sequence = 0
         self.report(born=9)
         time.sleep(NOTICE_S)
-        self.report("draining", born=9)
-        for host in hosts:
-            host.await_log("i-1 of s at 127.0.0.1:%d in d-a: draining" % self.server.port)
+        self.drain(hosts, born=9)
         self.report(sequence=5)
         time.sleep(NOTICE_S)
         self.assert_used(hosts, False)
