--- a/src/libheathersteer/report_history_test.cc
+++ b/src/libheathersteer/report_history_test.cc
@@ -54,7 +54,7 @@
   ReportHistory history(Report(started_ms, 50), ReadAt(now));
   for (int starts = *rc::gen::inRange(1, 8); starts > 0; --starts) {
     // Each start has a time of its own.
-    started_ms = started_ms + *rc::gen::inRange(-90, 90) * 10 + starts;
+    started_ms += *rc::gen::inRange<std::int64_t>(-90, 90) * 10 + starts;
     bool accepted = false;
     for (std::int64_t sequence = 1; sequence <= 3; ++sequence) {
       now += kReadInterval;
