--- a/testsuite/gateway/gateway_harness.py
+++ b/testsuite/gateway/gateway_harness.py
@@ -205,3 +205,10 @@
         host = self.host(name, **options)
         host.await_log("in force")
         return host
+
+    def started_with(self, *servers):
+        """Starts a host and waits until it knows these servers."""
+        host = self.started_host()
+        for server in servers:
+            host.await_log(f"backend server {server} ")
+        return host
--- a/testsuite/gateway/odd_status_test.py
+++ b/testsuite/gateway/odd_status_test.py
@@ -26,12 +26,6 @@
         server = self.backend(name, answer)
         return server
 
-    def started_with(self, *names):
-        host = self.started_host()
-        for name in names:
-            host.await_log(f"backend server {name} ")
-        return host
-
     def assert_outcome_unknown(self, host, server):
         for status_text in ODD_STATUSES:
             for path, method in (("/w/1", "POST"), ("/x/1", "GET")):
--- a/testsuite/gateway/server_failure_test.py
+++ b/testsuite/gateway/server_failure_test.py
@@ -18,12 +18,6 @@
         server = self.backend(name, fail, **row)
         return server
 
-    def started_with(self, *names):
-        host = self.started_host()
-        for name in names:
-            host.await_log(f"backend server {name} ")
-        return host
-
     def assert_own_failure(self, answer):
         status, headers, body = answer
         self.assertEqual((599, b"own failure", "sealed"), (status, body, headers[SEAL]))
--- a/testsuite/gateway/unidentified_response_test.py
+++ b/testsuite/gateway/unidentified_response_test.py
@@ -48,12 +48,6 @@
         backend.refused = []
         return backend
 
-    def started_with(self, *names):
-        host = self.started_host()
-        for name in names:
-            host.await_log(f"backend server {name} ")
-        return host
-
     def order(self, host, name, path="/w/1"):
         return host.request(path, "POST", b"x", request_id=name, key=KEY)
 
