A second response to the request before confirms no refusal

What callers would have seen, found by reading: an order runs twice. A faulty server sends a refusal without an id for an order that runs for longer than the barrier's delay, and then a second copy of its response to the request before.

Cause: once the barrier was sent, any response but the request's own counted as the barrier's, since some servers echo an id for a request that has none.

Change: a response that echoes the request before on the connection is a late copy, as it is without a barrier.

Copies of responses to earlier requests than that are not told apart; the stand-ins have none.

--- a/src/libheathergate/http_connection.cc
+++ b/src/libheathergate/http_connection.cc
@@ -115,7 +115,7 @@
                              OutgoingRequest request) {
   call_ = std::move(call);
   call_->connection_ = shared_from_this();
-  request_ = std::move(request);
+  previous_echo_ = std::exchange(request_, std::move(request)).check.echo;
   head_request_ = request_.is_head_method;
   unconfirmed_.reset();
   barrier_sent_ = false;
@@ -248,7 +248,7 @@
       Succeed(TakeResponse());
       return;
     case EchoMatch::kOther:
-      if (barrier_sent_) {
+      if (barrier_sent_ && !RepeatsPreviousEcho()) {
         // Some servers name a request that has no id.
         OnUnidentifiedResponse();
         return;
@@ -278,6 +278,12 @@
   return *value == request_.check.echo ? EchoMatch::kSame : EchoMatch::kOther;
 }
 
+bool HttpConnection::RepeatsPreviousEcho() const {
+  const std::string* value = const_cast<HttpReader&>(reader_).head().Find(
+      client_.options_.echo_header);
+  return value != nullptr && *value == previous_echo_;
+}
+
 bool HttpConnection::NeedsConfirmation() const {
   return call_->reused_connection_ && !request_.check.barrier_head.empty();
 }
--- a/src/libheathergate/http_connection.h
+++ b/src/libheathergate/http_connection.h
@@ -67,6 +67,7 @@
   void OnReadEnd(std::error_code error);
   void OnResponse();
   EchoMatch MatchEcho() const;
+  bool RepeatsPreviousEcho() const;
   CallResult TakeResponse();
   bool NeedsConfirmation() const;
   void OnUnidentifiedResponse();
@@ -88,6 +89,8 @@
   // Without head and body once it is written.
   OutgoingRequest request_;
   bool head_request_ = false;
+  // Echo of the request before the current one.
+  std::string previous_echo_;
   // A response without an echo that may belong to an earlier request.
   std::optional<CallResult> unconfirmed_;
   bool barrier_sent_ = false;
--- a/testsuite/gateway/unidentified_response_test.py
+++ b/testsuite/gateway/unidentified_response_test.py
@@ -103,6 +103,23 @@
         host = self.started_with("i-1")
         self.assertEqual([self.order(host, "a")[0], self.order(host, "b")[0]], [200, 503])
 
+    # The order would have run twice: it still runs when the check is sent.
+    def test_second_response_to_the_order_before_confirms_nothing(self):
+        def answer(request, connection):
+            backend.run(request)
+            if request[1][REQUEST_ID.lower()] == "b":
+                connection.sendall(SHED)
+                time.sleep(WORK_S / 2)
+                connection.sendall(make_response(request, b"own", request_id="a"))
+                time.sleep(WORK_S / 2)
+            return make_response(request, b"own")
+
+        backend = self.backend("i-1", answer)
+        host = self.started_with("i-1")
+        answers = [self.order(host, name) for name in ("a", "b")]
+        self.assertEqual([(answer[0], answer[1][REQUEST_ID]) for answer in answers], [(200, "a"), (200, "b")])
+        self.assertEqual(backend.runs, ["a", "b"])
+
     # A server that is full refuses the check, too.
     def test_refusal_is_confirmed_by_a_refused_check(self):
         full = threading.Event()
