The error that ends a program is one line, too

Found beside: a program that ends for its settings writes the reason to standard error itself, with the text of the settings as it is: a line end in it began a line of its own. It is escaped like the lines of the log.

Evidence: command_line_test, test_error_stays_one_line_whatever_the_settings_hold, fails before. Looked at as well: metrics have constant names only, the own interface's heads are HTTP/2 fields, and bodies between hosts are JSON.

--- a/src/libheathernet/program.cc
+++ b/src/libheathernet/program.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <iostream>
 
+#include "libheathernet/line_formatter.h"
 #include "libheathernet/output_writer.h"
 
 namespace heathernet {
@@ -16,7 +17,7 @@
 // Does not block when nobody reads standard error.
 void WriteError(const std::string& program, const std::string& message) {
   OutputWriter output(STDERR_FILENO);
-  output.Write(program + ": " + message + "\n");
+  output.Write(program + ": " + EscapeControls(message) + "\n");
   output.Finish(kErrorTimeout);
 }
 
