What a field may hold is decided in one file

HeadWriter had a list of its own of the characters that end a line. EndsLine() stands beside IsFieldValue() now. Words of two comments. No change of logic.

--- a/src/include/heathergate/field_value.h
+++ b/src/include/heathergate/field_value.h
@@ -10,6 +10,10 @@
 /// either end.
 bool IsFieldValue(std::string_view text);
 
+/// Whether a character ends a line, or a text, for a reader of a head, so that
+/// no text of one may hold it.
+bool EndsLine(char c);
+
 }  // namespace heathergate
 
 #endif  // HEATHERGATE_FIELD_VALUE_H_
--- a/src/libheathergate/field_value.cc
+++ b/src/libheathergate/field_value.cc
@@ -24,4 +24,8 @@
                       [](char c) { return IsControl(c) && c != '\t'; });
 }
 
+bool EndsLine(char c) {
+  return c == '\r' || c == '\n' || c == '\0';
+}
+
 }  // namespace heathergate
--- a/src/libheathergate/head_writer.cc
+++ b/src/libheathergate/head_writer.cc
@@ -1,12 +1,15 @@
 #include "heathergate/head_writer.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
+#include "heathergate/field_value.h"
+
 namespace heathergate {
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n";
-constexpr std::string_view kLineBreakers("\r\n\0", 3);
 
 }  // namespace
 
@@ -46,12 +49,10 @@
 }
 
 void HeadWriter::Append(std::string_view text) {
-  std::size_t position = text_.size();
+  const std::size_t begin = text_.size();
   text_ += text;
-  while ((position = text_.find_first_of(kLineBreakers, position)) !=
-         std::string::npos) {
-    text_[position] = ' ';
-  }
+  std::replace_if(text_.begin() + static_cast<std::ptrdiff_t>(begin),
+                  text_.end(), EndsLine, ' ');
 }
 
 }  // namespace heathergate
--- a/src/libheathergate/http_reader.cc
+++ b/src/libheathergate/http_reader.cc
@@ -40,7 +40,7 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
 constexpr std::size_t kStatusDigits = 3;
-// Size within which a start line has its status, with spaces to spare.
+// Size of the part of a start line in which its status has to end.
 constexpr std::size_t kMaxStatusBytes = 32;
 // Return values of on_headers_complete that http_parser defines.
 constexpr int kReadBody = 0;
