One entry of another writer does not make those of all servers invalid

What callers would have seen, found by reading: on a platform whose servers state no start times, all of them were ignored from the moment on at which any entry stated one, until the host's next start.

Cause: that servers state their start times was learned once and never unlearned.

Change: it is asked of each list anew, and of what is known: half of the entries have to state one. An entry without one lists no server that stated its own, however long it stays.

Evidence: ServerListTest, ServersOfAPlatformWithoutStartTimesAreListed, fails before.

--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -53,7 +53,7 @@
   std::vector<BackendServer> servers() const;
 
   /// Ids of servers whose listed report is ignored, as it is earlier than the
-  /// known one, or states no start time although those of other servers do.
+  /// known one, or states no start time although half of the others do.
   const std::set<std::string>& ignored_reports() const { return ignored_; }
 
   /// Time until missing servers are removed after an outage; 0 at other times.
@@ -67,7 +67,8 @@
   std::uint64_t timeline() const { return timeline_; }
 
  private:
-  std::vector<BackendServer> WithStartTimes(
+  // The reports that servers may have made.
+  std::vector<BackendServer> SelectReports(
       const std::vector<BackendServer>& reports);
   bool Merge(const std::vector<BackendServer>& reports,
              const ReportOrigin& origin);
@@ -84,7 +85,6 @@
   // Of listed servers, and of those that were removed lately.
   std::map<std::string, ReportHistory> histories_;
   std::set<std::string> ignored_;
-  bool states_start_times_ = false;
   std::uint64_t timeline_ = 0;
   heatherlever::Instant known_at_{0};
   // Time of the first read after an outage or a restore.
--- a/src/libheathersteer/report_history.cc
+++ b/src/libheathersteer/report_history.cc
@@ -99,6 +99,10 @@
 }
 
 bool ReportHistory::ShowsThatItRuns(const BackendServer& report, Instant now) {
+  if (report.started_ms == 0 && started_ms_ != 0) {
+    // A server that states its start time always does.
+    return false;
+  }
   if (!late_ || late_->report.started_ms != report.started_ms) {
     late_ = {.report = report, .listed_since = now, .further_reports = 0};
     return false;
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -49,7 +49,7 @@
   const ReportOrigin origin{
       .timeline = timeline_, .known_at = now, .from_store = true};
   ignored_.clear();
-  const auto reports = WithStartTimes(read.entries);
+  const auto reports = SelectReports(read.entries);
   const bool changed = Merge(reports, origin);
   const bool outage =
       known_at_.count() > 0 && now - known_at_ > kOutageThreshold;
@@ -73,7 +73,7 @@
   recovered_at_.reset();
   const ReportOrigin origin{.timeline = timeline_, .known_at = known_at};
   ignored_.clear();
-  const auto reports = WithStartTimes(list.entries);
+  const auto reports = SelectReports(list.entries);
   Merge(reports, origin);
   DropMissing(reports, origin);
   return true;
@@ -92,7 +92,7 @@
   timeline_ = timeline;
   recovered_at_.reset();
   const ReportOrigin origin{.timeline = timeline_, .known_at = known_at};
-  Merge(WithStartTimes(delta.changed), origin);
+  Merge(SelectReports(delta.changed), origin);
   for (const std::string& id : delta.removed) {
     Remove(id, origin);
     ignored_.erase(id);
@@ -112,22 +112,27 @@
 }
 
 // Servers state their start times everywhere or, on platforms without them,
-// nowhere. An entry without one among others is not a server's.
-std::vector<BackendServer> ServerList::WithStartTimes(
+// nowhere. Where half of them do, an entry without one is another writer's.
+std::vector<BackendServer> ServerList::SelectReports(
     const std::vector<BackendServer>& reports) {
-  states_start_times_ =
-      states_start_times_ ||
-      std::any_of(reports.begin(), reports.end(),
-                  [](const auto& report) { return report.started_ms != 0; });
-  std::vector<BackendServer> stated;
+  std::size_t stated = 0;
+  for (const auto& [id, server] : by_id_) {
+    stated += server.started_ms != 0 ? 1 : 0;
+  }
+  for (const BackendServer& report : reports) {
+    stated += report.started_ms != 0 ? 1 : 0;
+  }
+  const bool expected =
+      stated > 0 && 2 * stated >= by_id_.size() + reports.size();
+  std::vector<BackendServer> selected;
   for (const BackendServer& report : reports) {
-    if (report.started_ms != 0 || !states_start_times_) {
-      stated.push_back(report);
+    if (report.started_ms != 0 || !expected) {
+      selected.push_back(report);
     } else {
       ignored_.insert(report.id);
     }
   }
-  return stated;
+  return selected;
 }
 
 bool ServerList::Merge(const std::vector<BackendServer>& reports,
--- a/src/libheathersteer/server_list_test.cc
+++ b/src/libheathersteer/server_list_test.cc
@@ -312,10 +312,28 @@
   EXPECT_TRUE(list.ignored_reports().empty());
 }
 
+// One entry of another writer does not make the others' invalid.
 TEST(ServerListTest, ServersOfAPlatformWithoutStartTimesAreListed) {
   ServerList list;
   list.Update(List({Reported("a", 0, 5), Reported("b", 0, 5)}), kStart);
   EXPECT_EQ(Count(list), 2U);
+  for (int second = 1; second < 20; ++second) {
+    list.Update(
+        List({Reported("a", 0, 5), Reported("b", 0, 5), Reported("c", 7, 1)}),
+        kStart + seconds(second));
+    EXPECT_EQ(Count(list), 3U);
+  }
+}
+
+// Such an entry may be the only one that is left.
+TEST(ServerListTest, AnEntryWithoutAStartTimeListsNoServerThatStatedOne) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5)}), kStart);
+  list.Update(List({}), kStart + seconds(1));
+  for (int second = 2; second < 20; ++second) {
+    list.Update(List({Reported("a", 0, second)}), kStart + seconds(second));
+    EXPECT_EQ(Count(list), 0U);
+  }
 }
 
 TEST(ServerListTest, IgnoredReportsAreNamed) {
