A server whose entry was lost or replaced is used with its next report

What callers saw: a server that had reported lately got no requests until its second report, or for 10 s, after another writer's entry had stood under its id for a moment, or after a restore of the store had cost its entry.

Cause: takes a server whose entry goes for one that has left, whatever the entry was lost by.

Change: entries that can't be used are listed by name, and a server in whose place one stands hasn't left. Nor has one that is missing at the end of the time in which servers register again.

--- a/src/include/heathersteer/listing.h
+++ b/src/include/heathersteer/listing.h
@@ -2,6 +2,7 @@
 #define HEATHERSTEER_LISTING_H_
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace heathersteer {
@@ -12,6 +13,8 @@
   /// Timeline of the store; see StoreVersion.
   std::uint64_t timeline = 0;
   std::vector<Entry> entries;
+  /// Names of entries that can't be used, as other writers made them.
+  std::vector<std::string> unusable = {};
 };
 
 }  // namespace heathersteer
--- a/src/include/heathersteer/server_list.h
+++ b/src/include/heathersteer/server_list.h
@@ -76,8 +76,9 @@
   bool ExtendColdStart(const BackendServer& report);
   bool AcceptOverdue(heatherlever::Instant now);
   bool DropMissing(const std::vector<BackendServer>& reports,
-                   const ReportOrigin& origin);
-  bool Remove(const std::string& id, const ReportOrigin& origin);
+                   const ReportOrigin& origin,
+                   const std::set<std::string>& lost);
+  bool Remove(const std::string& id, const ReportOrigin& origin, bool lost);
   void TrimRemoved(heatherlever::Instant now);
 
   const heatherlever::Duration report_interval_;
--- a/src/libheathersteer/server_list.cc
+++ b/src/libheathersteer/server_list.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace heathersteer {
@@ -59,9 +60,18 @@
   if (recovered_at_ && now - *recovered_at_ < kReregistrationTime) {
     return changed;
   }
+  // Neither the entries that an outage or a restore has cost nor those in whose
+  // place another writer's stand say that their servers have left.
+  std::set<std::string> lost(read.unusable.begin(), read.unusable.end());
+  lost.insert(ignored_.begin(), ignored_.end());
+  if (recovered_at_) {
+    for (const auto& [id, server] : by_id_) {
+      lost.insert(id);
+    }
+  }
   recovered_at_.reset();
   known_at_ = now;
-  return DropMissing(reports, origin) || changed;
+  return DropMissing(reports, origin, lost) || changed;
 }
 
 bool ServerList::Mirror(const Listing<BackendServer>& list, Instant known_at) {
@@ -75,7 +85,7 @@
   ignored_.clear();
   const auto reports = SelectReports(list.entries);
   Merge(reports, origin);
-  DropMissing(reports, origin);
+  DropMissing(reports, origin, {});
   return true;
 }
 
@@ -94,7 +104,7 @@
   const ReportOrigin origin{.timeline = timeline_, .known_at = known_at};
   Merge(SelectReports(delta.changed), origin);
   for (const std::string& id : delta.removed) {
-    Remove(id, origin);
+    Remove(id, origin, false);
     ignored_.erase(id);
   }
   TrimRemoved(known_at);
@@ -195,7 +205,8 @@
 }
 
 bool ServerList::DropMissing(const std::vector<BackendServer>& reports,
-                             const ReportOrigin& origin) {
+                             const ReportOrigin& origin,
+                             const std::set<std::string>& lost) {
   std::set<std::string> present;
   for (const BackendServer& server : reports) {
     present.insert(server.id);
@@ -203,14 +214,16 @@
   bool dropped = false;
   for (const auto& [id, history] : histories_) {
     if (!present.contains(id)) {
-      dropped = Remove(id, origin) || dropped;
+      dropped = Remove(id, origin, lost.contains(id)) || dropped;
     }
   }
   TrimRemoved(origin.known_at);
   return dropped;
 }
 
-bool ServerList::Remove(const std::string& id, const ReportOrigin& origin) {
+bool ServerList::Remove(const std::string& id,
+                        const ReportOrigin& origin,
+                        bool lost) {
   const auto history = histories_.find(id);
   if (history == histories_.end()) {
     return false;
@@ -219,8 +232,9 @@
   if (by_id_.erase(id) == 0) {
     return false;
   }
-  history->second.RecordRemoval(origin,
-                                kMissedReports * report_interval_ - kReadDelay);
+  const Duration silence =
+      lost ? Duration(0) : kMissedReports * report_interval_ - kReadDelay;
+  history->second.RecordRemoval(origin, silence);
   return true;
 }
 
--- a/src/libheathersteer/server_list_test.cc
+++ b/src/libheathersteer/server_list_test.cc
@@ -412,5 +412,34 @@
   EXPECT_EQ(Count(list), 0U);
 }
 
+// What stands in a server's place says nothing of its leaving.
+TEST(ServerListTest, AServerWhoseEntryAnotherWriterReplacedIsListedAtOnce) {
+  for (const bool readable : {false, true}) {
+    ServerList list;
+    list.Update(List({Reported("a", 7, 5), Reported("b", 7, 5)}), kStart);
+    auto replaced = List({Reported("b", 7, 6)});
+    if (readable) {
+      replaced.entries.push_back(Reported("a", 0, 0));
+    } else {
+      replaced.unusable = {"a"};
+    }
+    list.Update(replaced, kStart + seconds(1));
+    EXPECT_EQ(Count(list), 1U);
+    list.Update(List({Reported("a", 7, 6), Reported("b", 7, 7)}),
+                kStart + seconds(2));
+    EXPECT_EQ(Count(list), 2U);
+  }
+}
+
+TEST(ServerListTest, AServerThatARestoreHasLostIsListedWithItsNextReport) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5)}), kStart);
+  for (const int ms : {500, 1400, 2300, 2600}) {
+    list.Update(List({}, 2), kStart + milliseconds(ms));
+  }
+  EXPECT_EQ(Count(list), 0U);
+  EXPECT_TRUE(list.Update(List({Reported("a", 7, 6)}, 2), kStart + seconds(3)));
+}
+
 }  // namespace
 }  // namespace heathersteer
--- a/testsuite/gateway/late_report_test.py
+++ b/testsuite/gateway/late_report_test.py
@@ -152,6 +152,15 @@
         time.sleep(NOTICE_S)
         self.assert_used(hosts, True)
 
+    def test_server_is_used_with_its_next_report_after_another_writers(self):
+        hosts = self.started_hosts()
+        self.report()
+        self.store.put("servers", "i-1", b"\xff")
+        for host in hosts:
+            host.await_log("backend server i-1 is no longer listed")
+        self.report()
+        self.await_used(hosts)
+
 
 if __name__ == "__main__":
     unittest.main()
