A late report doesn't win for an outage of the store

What callers would have seen, found by reading: a server that drains is used again if a late report of it is listed before and after an outage.

Cause: a late report counts once it has stayed for 10 s, in which the platform removes the entries of silent servers. During an outage it removes none.

Change: the time begins anew after a gap in the listings of over 3 s, as after an outage or a pause of the host, and with a timeline of the store.

Evidence: ServerListTest, ALateReportIsNotTakenOverForTheTimeOfAnOutage, fails before. Three tests that let an entry stay for 10 s without a read in between read it each second now; the times that they assert are as they were.

--- a/src/include/heathersteer/report_history.h
+++ b/src/include/heathersteer/report_history.h
@@ -26,8 +26,8 @@
   std::optional<BackendServer> AcceptOverdue(heatherlever::Instant now);
 
   /// Records that the id is not listed any more. A server whose last report is
-  /// older than `silence` by then may have been removed for its silence;
-  /// another one has left.
+  /// not older than `silence` by then has left; another one may have been
+  /// removed for its silence.
   void RecordRemoval(const ReportOrigin& origin,
                      heatherlever::Duration silence);
 
@@ -52,13 +52,16 @@
   // A report that seems to be earlier than the current one.
   struct Late {
     BackendServer report;
+    std::uint64_t timeline = 0;
+    // Since when, and when last, it has been listed without a gap.
     heatherlever::Instant listed_since{0};
+    heatherlever::Instant listed_at{0};
     // Number of further reports of the same incarnation that were listed.
     int further_reports = 0;
   };
 
   bool Precedes(const BackendServer& report, std::uint64_t timeline) const;
-  bool ShowsThatItRuns(const BackendServer& report, heatherlever::Instant now);
+  bool ShowsThatItRuns(const BackendServer& report, const ReportOrigin& origin);
   int NeededReports(const BackendServer& report) const;
   void Take(const BackendServer& report);
 
--- a/src/libheathersteer/report_history.cc
+++ b/src/libheathersteer/report_history.cc
@@ -14,6 +14,8 @@
 // The platform removes the entries of silent servers within this time, so a
 // server that stays listed for longer is running.
 constexpr Duration kSilentEntryTime = std::chrono::seconds(10);
+// Listings that are further apart don't tell whether the entry stayed.
+constexpr Duration kMaxListingGap = std::chrono::seconds(3);
 // Number of the first report of an incarnation.
 constexpr std::int64_t kFirstSequence = 1;
 // Number of further reports of an incarnation that seems earlier after which it
@@ -36,8 +38,7 @@
 
 bool ReportHistory::Accept(const BackendServer& report,
                            const ReportOrigin& origin) {
-  if (Precedes(report, origin.timeline) &&
-      !ShowsThatItRuns(report, origin.known_at)) {
+  if (Precedes(report, origin.timeline) && !ShowsThatItRuns(report, origin)) {
     return false;
   }
   if (!origin.from_store) {
@@ -55,7 +56,9 @@
     return std::nullopt;
   }
   const BackendServer report = late_->report;
-  if (!ShowsThatItRuns(report, now)) {
+  const ReportOrigin origin{
+      .timeline = late_->timeline, .known_at = now, .from_store = false};
+  if (!ShowsThatItRuns(report, origin)) {
     return std::nullopt;
   }
   Take(report);
@@ -98,15 +101,21 @@
                   : report.report_sequence < sequence_;
 }
 
-bool ReportHistory::ShowsThatItRuns(const BackendServer& report, Instant now) {
+bool ReportHistory::ShowsThatItRuns(const BackendServer& report,
+                                    const ReportOrigin& origin) {
   if (report.started_ms == 0 && started_ms_ != 0) {
     // A server that states its start time always does.
     return false;
   }
+  const Instant now = origin.known_at;
   if (!late_ || late_->report.started_ms != report.started_ms) {
-    late_ = {.report = report, .listed_since = now, .further_reports = 0};
-    return false;
+    late_ = {.report = report, .listed_since = now};
+  } else if (origin.timeline != late_->timeline ||
+             now - late_->listed_at > kMaxListingGap) {
+    late_->listed_since = now;
   }
+  late_->timeline = origin.timeline;
+  late_->listed_at = now;
   if (report.report_sequence > late_->report.report_sequence) {
     late_->report = report;
     ++late_->further_reports;
--- a/src/libheathersteer/report_history_test.cc
+++ b/src/libheathersteer/report_history_test.cc
@@ -91,8 +91,11 @@
 
 TEST(ReportHistoryTest, ALateReportThatStaysIsAcceptedAfterTenSeconds) {
   ReportHistory history(Report(7, 5), ReadAt(kStart));
-  EXPECT_FALSE(history.Accept(Report(7, 4), ReadAt(kStart + seconds(1))));
-  EXPECT_FALSE(history.AcceptOverdue(kStart + seconds(11)));
+  for (int second = 1; second <= 11; ++second) {
+    EXPECT_FALSE(
+        history.Accept(Report(7, 4), ReadAt(kStart + seconds(second))));
+    EXPECT_FALSE(history.AcceptOverdue(kStart + seconds(second)));
+  }
   EXPECT_TRUE(history.AcceptOverdue(kStart + milliseconds(11001)));
 }
 
--- a/src/libheathersteer/server_list_test.cc
+++ b/src/libheathersteer/server_list_test.cc
@@ -143,9 +143,10 @@
   ServerList list;
   list.Update(List({Reported("a", 1, 4)}), kStart);
   list.Update(List({}), kStart + seconds(1));
-  list.Update(List({Reported("a", 1, 4)}, 2), kStart + seconds(2));
-  list.Update(List({Reported("a", 1, 4)}, 2), kStart + seconds(12));
-  EXPECT_EQ(Count(list), 0U);
+  for (int second = 2; second <= 12; ++second) {
+    list.Update(List({Reported("a", 1, 4)}, 2), kStart + seconds(second));
+    EXPECT_EQ(Count(list), 0U);
+  }
   list.Update(List({Reported("a", 1, 4)}, 2), kStart + milliseconds(12001));
   EXPECT_EQ(Count(list), 1U);
 }
@@ -336,6 +337,45 @@
   }
 }
 
+// What stands in a server's place says nothing of its leaving.
+TEST(ServerListTest, AServerWhoseEntryAnotherWriterReplacedIsListedAtOnce) {
+  for (const bool readable : {false, true}) {
+    ServerList list;
+    list.Update(List({Reported("a", 7, 5), Reported("b", 7, 5)}), kStart);
+    auto replaced = List({Reported("b", 7, 6)});
+    if (readable) {
+      replaced.entries.push_back(Reported("a", 0, 0));
+    } else {
+      replaced.unusable = {"a"};
+    }
+    list.Update(replaced, kStart + seconds(1));
+    EXPECT_EQ(Count(list), 1U);
+    list.Update(List({Reported("a", 7, 6), Reported("b", 7, 7)}),
+                kStart + seconds(2));
+    EXPECT_EQ(Count(list), 2U);
+  }
+}
+
+TEST(ServerListTest, AServerThatARestoreHasLostIsListedWithItsNextReport) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5)}), kStart);
+  for (const int ms : {500, 1400, 2300, 2600}) {
+    list.Update(List({}, 2), kStart + milliseconds(ms));
+  }
+  EXPECT_EQ(Count(list), 0U);
+  EXPECT_TRUE(list.Update(List({Reported("a", 7, 6)}, 2), kStart + seconds(3)));
+}
+
+// During an outage nobody removes the entries of silent servers.
+TEST(ServerListTest, ALateReportIsNotTakenOverForTheTimeOfAnOutage) {
+  ServerList list;
+  list.Update(List({Reported("a", 7, 5, true)}), kStart);
+  list.Update(List({Reported("a", 7, 2)}), kStart + seconds(1));
+  list.Update(List({Reported("a", 7, 2)}), kStart + seconds(15));
+  list.Update(List({Reported("a", 7, 2)}), kStart + seconds(16));
+  EXPECT_TRUE(list.servers().front().draining);
+}
+
 TEST(ServerListTest, IgnoredReportsAreNamed) {
   ServerList list;
   list.Update(List({Reported("a", 7, 5, true)}), kStart);
@@ -383,7 +423,9 @@
   list.Mirror(List({Reported("a", 7, 5, true)}), kStart);
   list.Apply({.full = false, .changed = {Reported("a", 3, 2)}, .removed = {}},
              1, kStart + seconds(1));
-  EXPECT_FALSE(list.Confirm(kStart + seconds(11)));
+  for (int second = 2; second <= 11; ++second) {
+    EXPECT_FALSE(list.Confirm(kStart + seconds(second)));
+  }
   EXPECT_TRUE(list.Confirm(kStart + milliseconds(11001)));
   EXPECT_EQ(list.servers().front().started_ms, 3);
 }
@@ -408,37 +450,10 @@
              1, kStart + seconds(2));
   list.Apply({.full = false, .changed = {}, .removed = {"a"}}, 1,
              kStart + seconds(3));
-  EXPECT_FALSE(list.Confirm(kStart + seconds(20)));
-  EXPECT_EQ(Count(list), 0U);
-}
-
-// What stands in a server's place says nothing of its leaving.
-TEST(ServerListTest, AServerWhoseEntryAnotherWriterReplacedIsListedAtOnce) {
-  for (const bool readable : {false, true}) {
-    ServerList list;
-    list.Update(List({Reported("a", 7, 5), Reported("b", 7, 5)}), kStart);
-    auto replaced = List({Reported("b", 7, 6)});
-    if (readable) {
-      replaced.entries.push_back(Reported("a", 0, 0));
-    } else {
-      replaced.unusable = {"a"};
-    }
-    list.Update(replaced, kStart + seconds(1));
-    EXPECT_EQ(Count(list), 1U);
-    list.Update(List({Reported("a", 7, 6), Reported("b", 7, 7)}),
-                kStart + seconds(2));
-    EXPECT_EQ(Count(list), 2U);
-  }
-}
-
-TEST(ServerListTest, AServerThatARestoreHasLostIsListedWithItsNextReport) {
-  ServerList list;
-  list.Update(List({Reported("a", 7, 5)}), kStart);
-  for (const int ms : {500, 1400, 2300, 2600}) {
-    list.Update(List({}, 2), kStart + milliseconds(ms));
+  for (int second = 4; second <= 20; ++second) {
+    EXPECT_FALSE(list.Confirm(kStart + seconds(second)));
   }
   EXPECT_EQ(Count(list), 0U);
-  EXPECT_TRUE(list.Update(List({Reported("a", 7, 6)}, 2), kStart + seconds(3)));
 }
 
 }  // namespace
