--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,127 +1,165 @@
-"""Machines of a zone were replaced over time. Then a request that crashes every backend comes again and again."""
+"""Many callers keep connections open to two entry hosts; one host is lost. Does the other one still take connections?"""
 
+import asyncio
 import os
-import struct
+import resource
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from rig3 import *  # pylint: disable=wildcard-import,unused-wildcard-import
 
-ZONE = "suva-depot"
-REPLACED = 14
-HOSTS = 4
-BACKENDS = 16
-DOWN_S = 2
+CLIENTS = 3200
+PAUSE_S = 8  # below four fifths of the idleTimeout of 15 s
+GROUP = 100  # clients that share one cached answer of the directory
+LEFT_MS = 2500
 CONTACT_S = 3
-PAUSE_S = 1
-COMES_S = 16
-MAX_RETRIES = 3
-DEADLY = "/r/deadly"
-
-
-class FragileBackend(Backend):
-    """Crashes when it begins to run a deadly request, and is back after some seconds as a new lifetime."""
-
-    async def open(self):
-        self.writers = set()
-        await super().open()
-
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
+WATCH_S = 24
+TRIES = 7
+
+
+class Client:
+    """A client of PROTOCOL.md with one connection. Abandons an attempt that is not answered after a second on a new
+    connection, or at its time budget."""
+
+    def __init__(self, world, number):
+        self.world, self.number = world, number
+        self.failed = set()
+
+    async def run(self):
+        while True:
+            choices = [address for address in self.world.addresses[self.number // GROUP] if address not in self.failed]
+            if not choices:
+                self.failed.clear()
+                await asyncio.sleep(0.5)
+                continue
+            address = random.choice(choices)
+            if not await self.use(address):
+                self.failed.add(address)
+            await asyncio.sleep(0.5)
+
+    async def use(self, address):
+        """Returns whether the address took the connection."""
+        tried_at, answered = time.monotonic(), False
         try:
-            await super().serve(reader, writer)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), 1)
+        except (OSError, asyncio.TimeoutError):
+            self.world.tries.append((tried_at, address, None))
+            return False
+        try:
+            while True:
+                self.world.sent += 1
+                name = f"q{self.world.sent}"
+                writer.write(request("GET", f"/r/{self.number % 91}", name, LEFT_MS, key=str(self.number % 91)))
+                message = await asyncio.wait_for(read_message(reader), LEFT_MS / 1000 if answered else 1)
+                if message is None:
+                    break
+                status = int(message[0].split()[1])
+                self.world.answers.append((time.monotonic(), address, status))
+                if not answered:
+                    self.world.tries.append((tried_at, address, status))
+                answered = True
+                if message[1].get("connection") == "close":
+                    break
+                await asyncio.sleep(random.uniform(0.8, 1) * PAUSE_S)
+        except (OSError, asyncio.TimeoutError):
+            pass
         finally:
-            self.writers.discard(writer)
-
-    async def respond(self, first, headers, body):
-        if f" {DEADLY} " in first and headers.get("heatherlever-target-instance") == self.name:
-            self.case.deadly.append((time.monotonic(), self.name, headers.get(ID.lower())))
-            self.case.record(f"{self.name} begins to run {headers.get(ID.lower())} and crashes")
-            asyncio.create_task(self.crash())
-            await asyncio.sleep(3600)
-        return await super().respond(first, headers, body)
-
-    async def crash(self):
-        host, port = self.address.split(":")
-        self.gone = True
-        self.server.close()
-        for writer in list(self.writers):
-            if not writer.is_closing():
-                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
-        await asyncio.sleep(DOWN_S)
-        self.server = await asyncio.start_server(self.serve, host, int(port), backlog=512)
-        self.gone, self.sequence, self.running = False, 0, 0
-        self.born = int(time.time() * 1000)
-        self.report()
-        self.beats = asyncio.create_task(self.beat())
-
-
-class DeadMachine:
-    """Holds the addresses of a machine without power: connections to them hang."""
-
-    def __init__(self, host):
-        self.sockets = []
-        for address in [(host.ip, host.settings["internalPorts"][0]), *(host.address(name) for name in host.settings["listen"])]:
-            listener = socket.socket()
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.listen(0)
-            self.sockets.append(listener)
-            for _ in range(3):
-                filler = socket.socket()
-                filler.setblocking(False)
-                filler.connect_ex(address)
-                self.sockets.append(filler)
-
-
-async def send(host, method, path, request_id):
-    try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(*host.front), 1)
-        writer.write(request(method, path, request_id, 2500, key="deadly" if path == DEADLY else request_id))
-        message = await asyncio.wait_for(read_message(reader), 3)
-        writer.close()
-        return None if message is None else int(message[0].split()[1])
-    except (OSError, asyncio.TimeoutError):
-        return None
+            writer.close()
+        if not answered:
+            self.world.tries.append((tried_at, address, None))
+        return answered
+
+
+class World:
+    def __init__(self, hosts):
+        self.hosts, self.sent = hosts, 0
+        self.tries, self.answers, self.checks = [], [], []
+        self.addresses = [[host.front for host in hosts] for _ in range(CLIENTS // GROUP)]
+
+    async def resolve(self, group):
+        """Keeps the last answer while no host answers."""
+        while True:
+            for host in self.hosts:
+                try:
+                    status, _, body = await asyncio.wait_for(
+                        get(*host.address("directory"), f"/heatherlever/resolve?name=a.example&region=viti-central&zone={host.zone}"), 1)
+                except (OSError, asyncio.TimeoutError, EOFError):
+                    continue
+                named = json.loads(body).get("addresses") if status == 200 else None
+                if named:
+                    self.addresses[group] = [(text.split(":")[0], int(text.split(":")[1])) for text in named]
+                    break
+            await asyncio.sleep(2)
+
+    async def check(self, host):
+        """The platform's check, once a second, on a connection that it keeps."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(*host.address("ready"))
+                while True:
+                    writer.write(b"GET /heatherlever/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    message = await asyncio.wait_for(read_message(reader), 1)
+                    if message is None:
+                        break
+                    self.checks.append((time.monotonic(), host.name, int(message[0].split()[1])))
+                    await asyncio.sleep(1)
+            except (OSError, asyncio.TimeoutError):
+                pass
+            self.checks.append((time.monotonic(), host.name, 0))
+            await asyncio.sleep(1)
+
+
+def silent_window(world, host, begin, end):
+    """The first CONTACT_S in which the host was ready and TRIES clients or more tried it, of which none was answered."""
+    at = begin
+    while at + CONTACT_S <= end:
+        tries = [status for when, address, status in world.tries if address == host.front and at <= when < at + CONTACT_S]
+        ready = [status for when, name, status in world.checks if name == host.name and at - 1 <= when < at + CONTACT_S + 1]
+        if len(tries) >= TRIES and not any(tries) and ready and all(status == 200 for status in ready):
+            return at, len(tries)
+        at += 0.5
+    return None
 
 
 async def run(case):
-    case.deadly = []
-    await case.start(config(1, {"orders": route("cartage", "/r/", "non_idempotent")}))
-    backends = [FragileBackend(case, f"c-{number}", "cartage") for number in range(BACKENDS)]
-    for backend in backends:
-        await backend.open()
-    dead = []
-    if TROUBLE:
-        for number in range(100, 100 + REPLACED):
-            host = Host(case, number, ZONE)
-            host.start()
-            await case.wait_ready(host)
-            await asyncio.sleep(0.3)
-            host.process.kill()
-            host.process.wait()
-            dead.append(DeadMachine(host))
-            case.record(f"{host.name} is removed for good")
-    hosts = [Host(case, number, ZONE, first_start=False) for number in range(1, HOSTS + 1)]
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 20000), hard))
+    await case.start(config(1, {"reads": route("levelview", "/r/")}))
+    for number in range(8):
+        await Backend(case, f"i-{number}", "levelview", work_s=0.05).open()
+    hosts = [Host(case, number, "suva-depot") for number in (1, 2)]
     for host in hosts:
         host.start()
     await case.wait_ready(*hosts)
-    await asyncio.sleep(4 * CONTACT_S)
-    for number, host in enumerate(hosts):
-        case.record(f"{host.name} answers a sound order with {await send(host, 'POST', '/r/sound', f'sound-{number}')}")
+    world = World(hosts)
+    tasks = [asyncio.create_task(world.check(host)) for host in hosts]
+    tasks += [asyncio.create_task(world.resolve(group)) for group in range(CLIENTS // GROUP)]
+    for number in range(CLIENTS):
+        tasks.append(asyncio.create_task(Client(world, number).run()))
+        if number % 20 == 19:
+            await asyncio.sleep(0.06)
+    await asyncio.sleep(PAUSE_S)
+    if TROUBLE:
+        hosts[1].signal(signal.SIGKILL)
     begin = time.monotonic()
-    attempt = 0
-    while time.monotonic() - begin < COMES_S:
-        host = hosts[attempt % HOSTS]
-        case.record(f"the deadly request comes to {host.name} as d-{attempt}; answer: "
-                    f"{await send(host, 'POST', DEADLY, f'd-{attempt}')}")
-        attempt += 1
-        await asyncio.sleep(PAUSE_S)
-    third = case.deadly[2][0] if len(case.deadly) >= 3 else None
-    late = [entry for entry in case.deadly if third is not None and entry[0] > third + CONTACT_S]
-    case.record(f"{len(case.deadly)} backends crashed; {len(late)} of them later than {CONTACT_S} s after the third")
-    return len(late) > MAX_RETRIES
+    for _ in range(WATCH_S // 2):
+        await asyncio.sleep(2)
+        since = time.monotonic() - 2
+        for host in hosts:
+            tries = [status for when, address, status in world.tries if address == host.front and when >= since]
+            statuses = [status for when, address, status in world.answers if address == host.front and when >= since]
+            case.record(f"{host.name}, last 2 s: {len(tries)} new connections tried, {sum(map(bool, tries))} answered; "
+                        f"answers: {statuses.count(200)} of 200, {statuses.count(503)} of 503, "
+                        f"{len(statuses) - statuses.count(200) - statuses.count(503)} others; ready check: "
+                        f"{[status for when, name, status in world.checks if name == host.name and when >= since]}")
+    end = time.monotonic() - 1.5
+    for task in tasks:
+        task.cancel()
+    window = silent_window(world, hosts[0], begin + CONTACT_S, end)
+    if window is not None:
+        case.record(f"from {window[0] - case.record.start:.1f} s on, for {CONTACT_S} s, {hosts[0].name} said that it is ready and "
+                    f"answered none of {window[1]} new connections")
+    return window is not None
 
 
 main(run)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 import ast, glob, sys
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or newer is needed")
-for name in ["rig3.py", *sorted(glob.glob("1[1-5]/*.py"))]:
+for name in ["rig3.py", "bookings3.py", *sorted(glob.glob("1[1-5]/*.py"))]:
     with open(name, encoding="utf-8") as file:
         ast.parse(file.read(), name)
 PYTHON
