--- a/review/bookings3.py
+++ b/review/bookings3.py
@@ -11,12 +11,12 @@
 FAULTY = 3  # a share of 0.6
 EXTRA_SHARE = 0.03
 FAULT_S = 5
-FAULTS_AT_S = (3, 13, 23)
+FAULTS_AT_S = (3, 13, 23, 33, 43)
 SLOTS = 6
 WORK_S = 0.64
 CLIENTS = 24
 LEFT_MS = 3000
-LENGTH_S = 32
+LENGTH_S = 52
 
 
 class SlottedBackend(Backend):
